Explain a packet's way at a running balancer; bound lines on beliefs

Cause: an engineer could see a balancer's beliefs (dump) but not what they mean for one flow, lines on targets and members grew with the site (1,502 lines for 1,500 targets that appear at once), and lines that the queue to standard output dropped were reported on standard error, where the process can block.

Ruled out: explaining from a dump file; the choice would stand twice. Machine:: explain uses the same candidates, standing and cost as the choice, which now is one pass without lists.

--- a/crates/mulberrynotch_net/src/admin.rs
+++ b/crates/mulberrynotch_net/src/admin.rs
@@ -42,6 +42,9 @@
 /// Where the process's health is asked for by default.
 pub const HEALTH_PATH: &str = "/healthz";
 
+/// Path below which packets are described whose way is asked for.
+pub const ROUTE_PATH: &str = "/route/";
+
 /// Longest connection.
 const TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -58,8 +61,14 @@
     pub healthy: Box<dyn Fn() -> bool + Send + Sync>,
     /// Path where `healthy` is asked for.
     pub health_path: &'static str,
+    /// Explains where a packet goes that the rest of a path below [`ROUTE_PATH`] describes; the
+    /// error says what is wrong with the path. A process without one does not serve it.
+    pub route: Option<Route>,
 }
 
+/// Explains where a packet goes.
+pub type Route = Box<dyn Fn(&str) -> Result<serde_json::Value, String> + Send + Sync>;
+
 impl Content {
     /// Content of an endpoint that tells only whether the process is healthy.
     pub fn health_only(
@@ -71,6 +80,7 @@
             metrics: Box::new(String::new),
             healthy,
             health_path,
+            route: None,
         }
     }
 }
@@ -165,24 +175,34 @@
         return text(StatusCode::METHOD_NOT_ALLOWED, "use GET\n");
     }
     match request.uri().path() {
-        "/dump" => {
-            let mut body = (content.dump)().to_string();
-            body.push('\n');
-            respond_with(StatusCode::OK, "application/json", body)
-        }
+        "/dump" => json(&(content.dump)()),
         "/metrics" => respond_with(
             StatusCode::OK,
             "text/plain; version=0.0.4",
             (content.metrics)(), //
         ),
         path if path == content.health_path => health((content.healthy)()),
-        _ => text(
-            StatusCode::NOT_FOUND,
-            "use /dump, /metrics or the health path\n", //
-        ),
+        path => match (path.strip_prefix(ROUTE_PATH), &content.route) {
+            (Some(packet), Some(explain)) => route(explain(packet)),
+            _ => text(
+                StatusCode::NOT_FOUND,
+                "use /dump, /metrics or the health path\n", //
+            ),
+        },
     }
 }
 
+fn route(explained: Result<serde_json::Value, String>) -> Response<Full<bytes::Bytes>> {
+    match explained {
+        Ok(explanation) => json(&explanation),
+        Err(error) => respond_with(StatusCode::BAD_REQUEST, "text/plain", format!("{error}\n")),
+    }
+}
+
+fn json(value: &serde_json::Value) -> Response<Full<bytes::Bytes>> {
+    respond_with(StatusCode::OK, "application/json", format!("{value}\n"))
+}
+
 fn health(healthy: bool) -> Response<Full<bytes::Bytes>> {
     if healthy {
         text(StatusCode::OK, "ok\n")
--- a/crates/mulberrynotch_net/src/event.rs
+++ b/crates/mulberrynotch_net/src/event.rs
@@ -46,6 +46,11 @@
     line
 }
 
+/// Name of the event in a line that [`line`] formatted.
+pub fn name_of(line: &str) -> Option<&str> {
+    line.strip_prefix("event=")?.split(' ').next()
+}
+
 static START: LazyLock<Instant> = LazyLock::new(Instant::now);
 
 /// Time since the first call, for limiters in places that hold no clock.
--- a/crates/mulberrynotch_net/src/node.rs
+++ b/crates/mulberrynotch_net/src/node.rs
@@ -126,6 +126,7 @@
             move || node.is_ready()
         }),
         health_path: admin::HEALTH_PATH,
+        route: None,
     };
     let admin_address = node.settings.admin_address;
     let admin = admin::Server::bind(admin_address, content)
--- a/crates/mulberrynotch_net/src/steer/dump.rs
+++ b/crates/mulberrynotch_net/src/steer/dump.rs
@@ -4,7 +4,9 @@
 
 use mulberrynotch_steer::{
     catalog,
-    cookie, //
+    cookie,
+    machine,
+    record, //
 };
 use serde_json::json;
 
@@ -28,7 +30,8 @@
                     "revision": target.revision,
                     "verdict": format!("{:?}", machine.evidence().verdict(target.id)),
                     "silent_ms": millis(machine.evidence().silence(now, target.id)),
-                    "load": machine.load(now, target.id),
+                    "load": machine.load().of(now, target.id),
+                    "latency_ms": latency_ms(&machine, target.id),
                 })
             })
             .collect();
@@ -82,6 +85,11 @@
     out
 }
 
-fn millis(duration: Duration) -> u64 {
+pub(super) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Mean time from a request to the beginning of its answer.
+pub(super) fn latency_ms(machine: &machine::Machine, target: record::Id) -> f64 {
+    machine.load().latency_s(target) * 1e3
+}
--- a/crates/mulberrynotch_net/src/steer/line.rs
+++ b/crates/mulberrynotch_net/src/steer/line.rs
@@ -17,7 +17,17 @@
 /// Lines about single flows in a second; further ones are counted.
 const FLOW_LINES_PER_SECOND: u64 = 100;
 
-static FLOWS: event::Limiter = event::Limiter::with(FLOW_LINES_PER_SECOND, 1_000);
+/// Lines about each kind of belief in a second; further ones are counted. A site of thousands of
+/// targets is read at once at the start, and the dump shows what came of it.
+const BELIEF_LINES_PER_SECOND: u64 = 200;
+
+/// Length of the window that the limits hold for, in milliseconds.
+const WINDOW_MS: u64 = 1_000;
+
+static FLOWS: event::Limiter = event::Limiter::with(FLOW_LINES_PER_SECOND, WINDOW_MS);
+static VERDICTS: event::Limiter = event::Limiter::with(BELIEF_LINES_PER_SECOND, WINDOW_MS);
+static TARGETS: event::Limiter = event::Limiter::with(BELIEF_LINES_PER_SECOND, WINDOW_MS);
+static MEMBERS: event::Limiter = event::Limiter::with(BELIEF_LINES_PER_SECOND, WINDOW_MS);
 
 struct Flow(packet::Flow);
 
@@ -142,26 +152,32 @@
         Event::Unknown { flow, cookie } => {
             flow_line(now, "cookie_unknown", *flow, &[("cookie", cookie)]);
         }
-        other => write_belief(other),
+        other => write_belief(now, other),
     }
 }
 
 fn flow_line(now: Duration, name: &str, flow: packet::Flow, fields: &[event::Field<'_>]) {
-    let Some(suppressed) = FLOWS.admit(now) else {
+    let flow = Flow(flow);
+    let mut all: Vec<event::Field<'_>> = vec![("flow", &flow)];
+    all.extend_from_slice(fields);
+    limited(&FLOWS, now, name, &all);
+}
+
+/// Writes a line unless the limit is reached; those left out are counted by their event.
+fn limited(limiter: &event::Limiter, now: Duration, name: &str, fields: &[event::Field<'_>]) {
+    let Some(suppressed) = limiter.admit(now) else {
         metrics::counter!("mulberrynotch_suppressed_lines_total", "event" => name.to_owned())
             .increment(1);
         return;
     };
-    let flow = Flow(flow);
-    let mut all: Vec<event::Field<'_>> = vec![("flow", &flow)];
-    all.extend_from_slice(fields);
+    let mut fields = fields.to_vec();
     if suppressed > 0 {
-        all.push(("suppressed", &suppressed));
+        fields.push(("suppressed", &suppressed));
     }
-    event::info(name, &all);
+    event::info(name, &fields);
 }
 
-fn write_belief(event: &machine::Event) {
+fn write_belief(now: Duration, event: &machine::Event) {
     use machine::Event;
     match event {
         Event::Verdict {
@@ -170,7 +186,9 @@
             silence,
             failures,
             probe_failed,
-        } => event::info(
+        } => limited(
+            &VERDICTS,
+            now,
             "target_verdict",
             &[
                 ("target", &Target(*target)),
@@ -180,7 +198,7 @@
                 ("probe_failed", probe_failed),
             ],
         ),
-        Event::Changed { change, as_of } => write_change(change, *as_of),
+        Event::Changed { change, as_of } => write_change(now, change, *as_of),
         Event::StoreLost { age } => {
             event::warn("store_lost", &[("register_age_ms", &Millis(*age))]);
         }
@@ -193,7 +211,9 @@
             address,
             zone,
             live,
-        } => event::info(
+        } => limited(
+            &MEMBERS,
+            now,
             "member",
             &[("peer", address), ("zone", zone), ("live", live)],
         ),
@@ -205,7 +225,7 @@
     }
 }
 
-fn write_change(change: &catalog::Change, as_of: u64) {
+fn write_change(now: Duration, change: &catalog::Change, as_of: u64) {
     match change {
         catalog::Change::Configuration { version } => {
             event::info("configuration", &[("version", version), ("as_of", &as_of)])
@@ -217,7 +237,9 @@
             id,
             revision,
             state,
-        } => event::info(
+        } => limited(
+            &TARGETS,
+            now,
             "target",
             &[
                 ("target", &Target(*id)),
--- a/crates/mulberrynotch_net/src/steer/mod.rs
+++ b/crates/mulberrynotch_net/src/steer/mod.rs
@@ -8,6 +8,7 @@
 mod line;
 mod peer;
 mod probe;
+mod route;
 mod shutdown;
 mod store;
 
@@ -196,7 +197,7 @@
 
     async fn serve_admin(self: &Arc<Self>, render: Render) -> Result<admin::Server, Error> {
         let address = SocketAddr::V4(self.settings.admin_address);
-        let (dumped, measured) = (self.clone(), self.clone());
+        let (dumped, measured, asked) = (self.clone(), self.clone(), self.clone());
         let content = admin::Content {
             dump: Box::new(move || dumped.dump()),
             metrics: Box::new(move || {
@@ -205,6 +206,7 @@
             }),
             healthy: self.healthy(),
             health_path: admin::HEALTH_PATH,
+            route: Some(Box::new(move |packet| asked.explain(packet))),
         };
         let server = admin::Server::bind(address, content).await;
         server.map_err(|error| Error::Bind("admin_address", address, error))
--- a/crates/mulberrynotch_net/tests/admin.rs
+++ b/crates/mulberrynotch_net/tests/admin.rs
@@ -35,6 +35,7 @@
         metrics: Box::new(|| "up 1\n".to_owned()),
         healthy: Box::new(|| true),
         health_path: admin::HEALTH_PATH,
+        route: None,
     };
     let address = ([127, 0, 0, 1], 0).into();
     let server = admin::Server::bind(address, content).await.unwrap();
--- a/crates/mulberrynotch_steer/src/catalog.rs
+++ b/crates/mulberrynotch_steer/src/catalog.rs
@@ -88,6 +88,20 @@
     }
 }
 
+mulberrynotch_macros::value! {
+    /// Why the register keeps new flows away from a target.
+    pub enum Exclusion {
+        /// Its entry is gone.
+        Removed,
+        /// It drains.
+        Draining,
+        /// Another target has the same cookie.
+        CookieShared,
+        /// Its zone is out of service.
+        ZoneOut,
+    }
+}
+
 /// What a balancer knows of the register.
 #[derive(Debug)]
 pub struct Catalog {
@@ -169,20 +183,24 @@
         self.targets.values()
     }
 
-    /// Targets of a service that may take new flows, cold ones included.
-    pub fn candidates<'a>(
-        &'a self,
-        service: &str,
-        now: Duration,
-    ) -> impl Iterator<Item = &'a Target> {
+    /// All known targets of a service, removed ones included.
+    pub fn targets_of<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Target> + use<'a> {
         let ids = self.services.get(service).into_iter().flatten();
         ids.filter_map(|id| self.targets.get(id))
-            .filter(move |target| self.takes_flows(target, now))
     }
 
-    fn takes_flows(&self, target: &Target, now: Duration) -> bool {
-        let present = target.removed_at.is_none() || now < target.kept_until;
-        present && !target.entry.draining && !target.ambiguous && !self.is_out(&target.entry.zone)
+    /// Why a target takes no new flows; `None` for one that does, also while it is cold.
+    pub fn exclusion(&self, now: Duration, target: &Target) -> Option<Exclusion> {
+        if target.removed_at.is_some() && now >= target.kept_until {
+            Some(Exclusion::Removed)
+        } else if target.entry.draining {
+            Some(Exclusion::Draining)
+        } else if target.ambiguous {
+            Some(Exclusion::CookieShared)
+        } else {
+            self.is_out(&target.entry.zone)
+                .then_some(Exclusion::ZoneOut)
+        }
     }
 
     /// True while a zone is out of service.
--- a/crates/mulberrynotch_steer/src/choice.rs
+++ b/crates/mulberrynotch_steer/src/choice.rs
@@ -7,7 +7,10 @@
 
 use mulberrynotch_policy::rendezvous;
 
-use crate::record;
+use crate::{
+    catalog,
+    record, //
+};
 
 /// Time in which the memory of a request fades to 1/e, in seconds.
 const MEMORY_S: f64 = 1.5;
@@ -16,15 +19,41 @@
 /// flows stay in their zone, and an uneven share of clients still spreads.
 const NEAR: f64 = 3.0;
 
-/// A target that may be chosen.
-#[derive(Clone, Copy, Debug)]
-pub struct Candidate {
-    /// Identifier.
-    pub id: record::Id,
-    /// Requests that the target runs at a time.
-    pub slots: u32,
-    /// True when the target is in the balancer's zone.
-    pub near: bool,
+mulberrynotch_macros::value! {
+    /// What stands for or against a target as the choice for a new flow, best first.
+    pub enum Standing {
+        /// It is warm and believed to be well.
+        Good,
+        /// It is warm, and flows on it are failing.
+        Doubtful,
+        /// It has not answered an earlier opening packet of the same flow.
+        Tried,
+        /// It bears a trickle only.
+        Cold,
+        /// It is believed to have ended.
+        Dead,
+        /// The register keeps new flows away from it.
+        Excluded(catalog::Exclusion),
+    }
+
+    /// A target that is compared with others.
+    pub struct Candidate {
+        /// Identifier.
+        pub id: record::Id,
+        /// What stands for or against it.
+        pub standing: Standing,
+        /// Requests that the target runs at a time.
+        pub slots: u32,
+        /// True when the target is in the balancer's zone.
+        pub near: bool,
+    }
+}
+
+impl Standing {
+    /// True for a target that is chosen by its load; a cold one is chosen within its limit.
+    pub fn is_warm(self) -> bool {
+        self < Self::Cold
+    }
 }
 
 /// Part of a new latency sample in the mean of a target.
@@ -98,24 +127,30 @@
         self.targets.retain(|id, _| known(*id));
     }
 
-    /// The candidate with the least cost; `random` decides between equal ones.
-    pub fn least(
+    /// The candidate with the best standing, and among those the one with the least cost; `random`
+    /// decides between equal ones.
+    pub fn best(
         &self,
         now: Duration,
-        candidates: &[Candidate],
+        candidates: impl Iterator<Item = Candidate>,
         random: u64,
     ) -> Option<record::Id> {
-        let costs = candidates.iter().map(|it| {
+        let costs = candidates.map(|it| {
             let lot = rendezvous::weight(random, it.id.0);
-            (it.id, self.cost(now, it), lot)
+            (it.id, it.standing, self.cost(now, &it), lot)
+        });
+        let best = costs.min_by(|(_, standing, cost, lot), (_, standing_b, cost_b, lot_b)| {
+            let by_standing = standing.cmp(standing_b);
+            by_standing
+                .then(cost.total_cmp(cost_b))
+                .then(lot.cmp(lot_b))
         });
-        let least = costs.min_by(|(_, a, one), (_, b, other)| a.total_cmp(b).then(one.cmp(other)));
-        least.map(|(id, ..)| id)
+        best.map(|(id, ..)| id)
     }
 
     /// Grows with the requests that went to a target and with the square of its latency: once for
     /// the time that each request occupies it, and once for the time that the caller waits.
-    fn cost(&self, now: Duration, candidate: &Candidate) -> f64 {
+    pub fn cost(&self, now: Duration, candidate: &Candidate) -> f64 {
         let size = f64::from(candidate.slots.max(1)) * if candidate.near { NEAR } else { 1.0 };
         let latency = self.latency_s(candidate.id).max(LEAST_LATENCY_S);
         (self.of(now, candidate.id) + 0.5) * latency * latency / size
--- a/crates/mulberrynotch_steer/src/machine.rs
+++ b/crates/mulberrynotch_steer/src/machine.rs
@@ -3,6 +3,7 @@
 mod data;
 mod doubt;
 mod event;
+mod explain;
 mod fetch;
 mod heartbeat;
 mod push;
@@ -19,6 +20,10 @@
     Event,
     Reason, //
 };
+pub use explain::{
+    Explanation,
+    Outcome, //
+};
 use mulberrynotch_policy::rendezvous;
 
 use crate::{
@@ -168,7 +173,6 @@
     cleaned_at: Duration,
     /// Members of the own zone that were live at the last clean-up.
     live: BTreeSet<SocketAddrV4>,
-    candidates: Vec<choice::Candidate>,
 }
 
 impl Machine {
@@ -195,7 +199,6 @@
             heartbeat_at: Duration::ZERO,
             cleaned_at: Duration::ZERO,
             live: BTreeSet::new(),
-            candidates: Vec::new(),
         }
     }
 
@@ -244,9 +247,9 @@
         self.flows.len()
     }
 
-    /// Requests sent to a target lately, fading.
-    pub fn load(&self, now: Duration, target: record::Id) -> f64 {
-        self.load.of(now, target)
+    /// Requests to the targets lately, and their latencies.
+    pub fn load(&self) -> &choice::Load {
+        &self.load
     }
 
     /// Time since the register was known to be current; `None` before the first answer.
@@ -263,7 +266,7 @@
     }
 
     fn draw(&mut self) -> u64 {
-        self.random = rendezvous::weight(self.random, 1);
+        self.random = self.next_draw();
         self.random
     }
 
--- a/crates/mulberrynotch_steer/src/machine/data.rs
+++ b/crates/mulberrynotch_steer/src/machine/data.rs
@@ -21,6 +21,14 @@
     record, //
 };
 
+/// The target for an opening packet.
+#[derive(Clone, Copy)]
+struct Chosen {
+    target: record::Id,
+    /// Targets that were compared.
+    compared: usize,
+}
+
 impl Machine {
     pub(super) fn open(&mut self, now: Duration, packet: &packet::Packet) -> Verdict {
         if self.is_holding() {
@@ -37,97 +45,104 @@
             return self.refuse(now, packet, Reason::NoTarget);
         };
         match self.choose(now, &service, packet) {
-            Some(target) => self.send_opening(now, packet, target),
+            Some(chosen) => self.send_opening(now, packet, chosen),
             None => self.refuse(now, packet, Reason::NoTarget),
         }
     }
 
     /// The target for an opening packet. A copy of one goes to another target than those before
     /// it, which have not answered.
-    fn choose(
-        &mut self,
-        now: Duration,
-        service: &str,
-        packet: &packet::Packet,
-    ) -> Option<record::Id> {
+    fn choose(&mut self, now: Duration, service: &str, packet: &packet::Packet) -> Option<Chosen> {
         let copies = usize::try_from(packet.acknowledged).unwrap_or(usize::MAX);
-        let tried = self.flows.tried(now, &packet.flow).to_vec();
+        let tried = self.flows.tried(now, &packet.flow);
         if let Some(repeated) = tried.get(copies) {
             // The network delivered the packet twice.
-            return Some(*repeated);
+            return Some(Chosen {
+                target: *repeated,
+                compared: 0,
+            });
         }
-        let mut candidates = std::mem::take(&mut self.candidates);
-        self.collect(now, service, &mut candidates);
         let random = self.draw();
-        let chosen = self
-            .least(now, &candidates, random, |it, verdict| {
-                verdict == evidence::Verdict::Good && !tried.contains(&it)
-            })
-            .or_else(|| self.least(now, &candidates, random, |it, _| !tried.contains(&it)))
-            .or_else(|| self.least(now, &candidates, random, |_, _| true))
-            .or_else(|| self.choose_cold(now, service));
-        self.candidates = candidates;
-        chosen
-    }
-
-    /// The least loaded of the candidates that are taken; dead ones never are.
-    fn least(
-        &self,
-        now: Duration,
-        candidates: &[choice::Candidate],
-        random: u64,
-        takes: impl Fn(record::Id, evidence::Verdict) -> bool,
-    ) -> Option<record::Id> {
-        let taken = candidates.iter().copied().filter(|it| {
-            let verdict = self.evidence.verdict(it.id);
-            verdict != evidence::Verdict::Dead && takes(it.id, verdict)
+        let mut compared = 0;
+        let candidates = self
+            .candidates(now, service, &packet.flow)
+            .filter(|it| it.standing.is_warm())
+            .inspect(|_| compared += 1);
+        let best = self.load.best(now, candidates, random);
+        let target = best.or_else(|| {
+            let cold = self.cold(now, service, &packet.flow)?;
+            self.ramp.note(now, cold);
+            Some(cold)
         });
-        let taken: Vec<_> = taken.collect();
-        self.load.least(now, &taken, random)
+        target.map(|target| Chosen { target, compared })
     }
 
-    /// Collects the warm targets of a service.
-    fn collect(&self, now: Duration, service: &str, candidates: &mut Vec<choice::Candidate>) {
+    /// All known targets of a service, with what stands for or against each.
+    pub(super) fn candidates<'a>(
+        &'a self,
+        now: Duration,
+        service: &str,
+        flow: &packet::Flow,
+    ) -> impl Iterator<Item = choice::Candidate> + use<'a> {
+        let tried = self.flows.tried(now, flow);
         let zone = &self.fleet.me().zone;
-        candidates.clear();
-        let targets = self.catalog.candidates(service, now);
-        let warm = targets.filter(|it| !self.is_cold(now, it));
-        candidates.extend(warm.map(|it| choice::Candidate {
+        let targets = self.catalog.targets_of(service);
+        targets.map(move |it| choice::Candidate {
             id: it.id,
+            standing: self.standing(now, it, tried),
             slots: it.entry.slots,
             near: it.entry.zone == *zone,
-        }));
+        })
+    }
+
+    fn standing(
+        &self,
+        now: Duration,
+        target: &catalog::Target,
+        tried: &[record::Id],
+    ) -> choice::Standing {
+        if let Some(exclusion) = self.catalog.exclusion(now, target) {
+            return choice::Standing::Excluded(exclusion);
+        }
+        match self.evidence.verdict(target.id) {
+            evidence::Verdict::Dead => choice::Standing::Dead,
+            _ if self.is_cold(now, target) => choice::Standing::Cold,
+            _ if tried.contains(&target.id) => choice::Standing::Tried,
+            evidence::Verdict::Doubtful => choice::Standing::Doubtful,
+            evidence::Verdict::Good => choice::Standing::Good,
+        }
     }
 
     /// True while a target is cold by its entry, or may be because its zone has just returned.
     pub(super) fn is_cold(&self, now: Duration, target: &catalog::Target) -> bool {
-        let returned = self.catalog.returned_at(&target.entry.zone);
+        if now < target.warm_at {
+            return true;
+        }
+        let Some(returned_at) = self.catalog.returned_at(&target.entry.zone) else {
+            return false;
+        };
         let limit = self.catalog.service(&target.entry.service);
         let cold = Duration::from_millis(limit.map_or(0, |it| it.cold_ms).into());
-        now < target.warm_at || returned.is_some_and(|at| now < at + cold)
+        now < returned_at + cold
     }
 
-    /// A cold target that bears another flow, when there is no warm one.
-    fn choose_cold(&mut self, now: Duration, service: &str) -> Option<record::Id> {
+    /// A cold target that bears another flow.
+    pub(super) fn cold(
+        &self,
+        now: Duration,
+        service: &str,
+        flow: &packet::Flow,
+    ) -> Option<record::Id> {
         let limit = self.catalog.service(service)?.cold_per_second_milli;
         let senders = self.fleet.possible_senders();
-        let target = self
-            .catalog
-            .candidates(service, now)
-            .filter(|it| self.is_cold(now, it))
+        self.candidates(now, service, flow)
+            .filter(|it| it.standing == choice::Standing::Cold)
             .map(|it| it.id)
-            .filter(|id| self.evidence.verdict(*id) != evidence::Verdict::Dead)
-            .find(|id| self.ramp.admits(now, *id, limit, senders))?;
-        self.ramp.note(now, target);
-        Some(target)
+            .find(|id| self.ramp.admits(now, *id, limit, senders))
     }
 
-    fn send_opening(
-        &mut self,
-        now: Duration,
-        packet: &packet::Packet,
-        target: record::Id,
-    ) -> Verdict {
+    fn send_opening(&mut self, now: Duration, packet: &packet::Packet, chosen: Chosen) -> Verdict {
+        let Chosen { target, compared } = chosen;
         let Some(known) = self.catalog.target(target) else {
             return Verdict::Drop;
         };
@@ -140,7 +155,7 @@
             flow: packet.flow,
             copy: packet.acknowledged,
             target,
-            candidates: self.candidates.len(),
+            candidates: compared,
             far,
             version: self.catalog.configuration().version,
             age: self.age(now),
@@ -332,7 +347,10 @@
 }
 
 /// Draws a share of a route by its weight; the same flow always draws the same one.
-fn share<'a>(route: &'a record::Route, flow: &packet::Flow) -> Option<&'a record::Share> {
+pub(super) fn share<'a>(
+    route: &'a record::Route,
+    flow: &packet::Flow,
+) -> Option<&'a record::Share> {
     let total: u64 = route.shares.iter().map(|it| u64::from(it.weight)).sum();
     let hash = rendezvous::address(flow.client.into(), 0);
     let mut point = hash.checked_rem(total)?;
--- /dev/null
+++ b/crates/mulberrynotch_steer/src/machine/explain.rs
@@ -0,0 +1,143 @@
+//! Where a packet would go, and why, for operators.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use mulberrynotch_policy::rendezvous;
+
+use super::{
+    Machine,
+    Reason,
+    data, //
+};
+use crate::{
+    choice,
+    cookie,
+    evidence,
+    packet,
+    record, //
+};
+
+mulberrynotch_macros::data! {
+    /// What would become of a packet.
+    #[derive(Copy)]
+    pub enum Outcome {
+        /// It opens a flow on the least loaded target.
+        Opened(record::Id),
+        /// It opens a flow on a cold target, since no warm one is left.
+        OpenedCold(record::Id),
+        /// It goes to the target that its cookie names.
+        Carried(record::Id),
+        /// It is answered with a reset, since the target that its cookie names has ended.
+        Reset(record::Id),
+        /// It is answered with a reset, or with silence while the register is old.
+        Refused(Reason),
+        /// It is dropped: no known target has its cookie.
+        CookieUnknown,
+        /// It waits until the register is known or confirmed.
+        Held,
+    }
+
+    /// Where a packet would go, and what decides it.
+    pub struct Explanation {
+        /// What would become of the packet.
+        pub outcome: Outcome,
+        /// Service of the route that new flows go to.
+        pub service: Option<Arc<str>>,
+        /// All known targets of the service, best first.
+        pub candidates: Vec<choice::Candidate>,
+        /// Version of the configuration.
+        pub version: u64,
+        /// Revision up to which every change is known.
+        pub as_of: u64,
+        /// Age of the register.
+        pub age: Option<Duration>,
+    }
+}
+
+impl Machine {
+    /// Says where a packet of a flow would go now; with [`cookie::NONE`], its opening packet.
+    ///
+    /// Changes nothing, so the answer holds until the next packet or change.
+    pub fn explain(&self, now: Duration, flow: &packet::Flow, cookie: u32) -> Explanation {
+        let route = self.catalog.route(flow.route);
+        let share = route.and_then(|it| data::share(it, flow));
+        let service = share.map(|it| it.service.clone());
+        let outcome = if cookie == cookie::NONE {
+            self.explain_opening(now, flow, service.as_deref())
+        } else {
+            self.explain_cookie(cookie)
+        };
+        Explanation {
+            outcome,
+            candidates: self.sorted_candidates(now, flow, service.as_deref()),
+            service,
+            version: self.catalog.configuration().version,
+            as_of: self.catalog.as_of(),
+            age: self.age(now),
+        }
+    }
+
+    fn explain_opening(
+        &self,
+        now: Duration,
+        flow: &packet::Flow,
+        service: Option<&str>,
+    ) -> Outcome {
+        if self.is_holding() {
+            return Outcome::Held;
+        }
+        if self.catalog.route(flow.route).is_none() {
+            return Outcome::Refused(if self.is_current(now) {
+                Reason::NoRoute
+            } else {
+                Reason::RouteUncertain
+            });
+        }
+        let Some(service) = service else {
+            return Outcome::Refused(Reason::NoTarget);
+        };
+        let candidates = self.candidates(now, service, flow);
+        let warm = candidates.filter(|it| it.standing.is_warm());
+        if let Some(target) = self.load.best(now, warm, self.next_draw()) {
+            return Outcome::Opened(target);
+        }
+        let cold = self.cold(now, service, flow);
+        cold.map_or(Outcome::Refused(Reason::NoTarget), Outcome::OpenedCold)
+    }
+
+    fn explain_cookie(&self, cookie: u32) -> Outcome {
+        match self.catalog.by_cookie(cookie) {
+            Some(target) if self.evidence.verdict(target.id) == evidence::Verdict::Dead => {
+                Outcome::Reset(target.id)
+            }
+            Some(target) => Outcome::Carried(target.id),
+            None if !self.catalog.is_usable() => Outcome::Held,
+            None => Outcome::CookieUnknown,
+        }
+    }
+
+    fn sorted_candidates(
+        &self,
+        now: Duration,
+        flow: &packet::Flow,
+        service: Option<&str>,
+    ) -> Vec<choice::Candidate> {
+        let Some(service) = service else {
+            return Vec::new();
+        };
+        let mut candidates: Vec<_> = self.candidates(now, service, flow).collect();
+        candidates.sort_by(|one, other| {
+            let cost = |it| self.load.cost(now, it);
+            let by_standing = one.standing.cmp(&other.standing);
+            by_standing.then_with(|| cost(one).total_cmp(&cost(other)))
+        });
+        candidates
+    }
+
+    pub(super) fn next_draw(&self) -> u64 {
+        rendezvous::weight(self.random, 1)
+    }
+}
--- a/crates/mulberrynotch_steer/tests/control.rs
+++ b/crates/mulberrynotch_steer/tests/control.rs
@@ -317,7 +317,10 @@
             (version, revision) = (now_version, now_revision);
         }
         assert_eq!((version, revision), (3, 14), "{order:?}");
-        assert_eq!(catalog.candidates("feed", at(20)).count(), 1, "{order:?}");
+        let taking = catalog
+            .targets_of("feed")
+            .filter(|it| catalog.exclusion(at(20), it).is_none());
+        assert_eq!(taking.count(), 1, "{order:?}");
     }
 }
 
--- a/src/cli/dump.rs
+++ b/src/cli/dump.rs
@@ -3,32 +3,12 @@
 use std::{
     fmt::Write,
     net::SocketAddr,
-    process::ExitCode,
-    time::Duration, //
+    process::ExitCode, //
 };
 
-use http_body_util::{
-    BodyExt,
-    Empty,
-    Limited, //
-};
-use hyper::{
-    Request,
-    body::Bytes,
-    client,
-    header, //
-};
-use hyper_util::rt::TokioIo;
 use serde_json::Value;
-use tokio::{
-    net::TcpStream,
-    time, //
-};
 
-/// Longest wait for the dump.
-const TIMEOUT: Duration = Duration::from_secs(5);
-/// Largest dump that is printed, in bytes.
-const MAX_BYTES: usize = 64 << 20;
+use super::admin;
 
 /// Arguments of `dump`.
 #[derive(Debug, clap::Args)]
@@ -52,18 +32,12 @@
 
 /// Prints the state dump, or why it cannot be read and exit status 1.
 pub fn execute(args: &Args) -> ExitCode {
-    match read(args.admin) {
+    match admin::get(args.admin, "/dump") {
         Ok(dump) => {
             print!("{}", render(&dump, args.format));
             ExitCode::SUCCESS
         }
-        Err(error) => {
-            eprintln!(
-                "{}: {error}; check that the process runs and that this is its \"admin_address\"",
-                args.admin
-            );
-            ExitCode::FAILURE
-        }
+        Err(error) => admin::fail(args.admin, &error),
     }
 }
 
@@ -79,40 +53,6 @@
     }
 }
 
-fn read(admin: SocketAddr) -> Result<Value, String> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|error| error.to_string())?;
-    let answer = runtime.block_on(async { time::timeout(TIMEOUT, fetch(admin)).await });
-    let body = answer.map_err(|_| format!("no answer within {TIMEOUT:?}"))??;
-    serde_json::from_slice(&body).map_err(|error| format!("answer is not JSON: {error}"))
-}
-
-async fn fetch(admin: SocketAddr) -> Result<Bytes, String> {
-    let stream = TcpStream::connect(admin)
-        .await
-        .map_err(|error| error.to_string())?;
-    let (mut sender, connection) = client::conn::http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(|error| error.to_string())?;
-    tokio::spawn(connection);
-    let request = Request::get("/dump")
-        .header(header::HOST, admin.to_string())
-        .body(Empty::<Bytes>::new())
-        .map_err(|error| error.to_string())?;
-    let response = sender
-        .send_request(request)
-        .await
-        .map_err(|error| error.to_string())?;
-    if !response.status().is_success() {
-        return Err(format!("answered with status {}", response.status()));
-    }
-    let body = Limited::new(response.into_body(), MAX_BYTES);
-    let body = body.collect().await.map_err(|error| error.to_string())?;
-    Ok(body.to_bytes())
-}
-
 /// Appends a value as lines below the current one, indented by `depth` levels.
 fn lines(out: &mut String, depth: usize, value: &Value) {
     match value {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! Command line.
 
+mod admin;
 pub mod check;
 pub mod diff;
 mod document;
--- a/src/cli/route.rs
+++ b/src/cli/route/register.rs
@@ -1,10 +1,8 @@
-//! `mulberrynotch route`: explains where a flow goes.
+//! Where a flow goes by a register and a list of balancers.
 
 use std::{
     fmt::Write,
     net::SocketAddr,
-    path::PathBuf,
-    process::ExitCode,
     str::FromStr,
     sync::Arc, //
 };
@@ -19,34 +17,13 @@
 };
 use mulberrynotch_wire::control;
 
-use super::{
-    document,
-    snapshot, //
-};
-
-/// Arguments of `route`.
-#[derive(Debug, clap::Args)]
-pub struct Args {
-    /// A register.
-    #[arg(long, value_name = "FILE")]
-    register: PathBuf,
-    /// Name of a service of the register.
-    #[arg(long, value_name = "NAME")]
-    service: Arc<str>,
-    /// Address of the caller.
-    #[arg(long, value_name = "IP:PORT")]
-    caller: SocketAddr,
-    /// A live balancer and its zone; may be repeated. Without any, the rule is shown instead of the
-    /// owner.
-    #[arg(long = "member", value_name = "NAME@ZONE")]
-    members: Vec<Member>,
-}
+use crate::cli::snapshot;
 
 /// A live balancer, as `NAME@ZONE`.
 #[derive(Clone, Debug)]
 pub struct Member {
-    name: Arc<str>,
-    zone: Arc<str>,
+    pub(super) name: Arc<str>,
+    pub(super) zone: Arc<str>,
 }
 
 impl FromStr for Member {
@@ -63,26 +40,6 @@
     }
 }
 
-/// Prints the choice of target and owner for each address of a service.
-pub fn execute(args: &Args) -> ExitCode {
-    let register = match document::register(&args.register) {
-        Ok(register) => register,
-        Err(code) => return code,
-    };
-    let members: Vec<control::Member> = args
-        .members
-        .iter()
-        .map(|member| snapshot::member(&member.name, &member.zone))
-        .collect();
-    match explain(register, &args.service, args.caller, &members) {
-        Ok(text) => {
-            print!("{text}");
-            ExitCode::SUCCESS
-        }
-        Err(error) => document::refuse(&args.register, &error),
-    }
-}
-
 /// The choice of target and owner for each address of a service, as text.
 ///
 /// # Errors
--- a/src/log.rs
+++ b/src/log.rs
@@ -7,14 +7,17 @@
     time::UNIX_EPOCH, //
 };
 
+use mulberrynotch_net::event;
 use mulberrynotch_register::settings;
 use spdlog::{
+    Error,
     Level,
     LevelFilter,
     Logger,
     Record,
     StringBuf, //
     ThreadPool,
+    error::SendToChannelErrorDropped,
     formatter::{
         Formatter,
         FormatterContext, //
@@ -56,7 +59,7 @@
 
 /// Lines that wait for the thread that writes them; further ones are dropped, so that a reader of
 /// the log that stalls does not hold the process up.
-const MAX_WAITING: usize = 4_096;
+const MAX_WAITING: usize = 1_024;
 
 /// Makes the default logger write events of `level` and above to standard output.
 ///
@@ -77,15 +80,29 @@
         .sink(Arc::new(sink))
         .thread_pool(Arc::new(pool))
         .overflow_policy(OverflowPolicy::DropIncoming)
+        .error_handler(count_lost)
         .build()?;
     let logger = Logger::builder()
         .sink(Arc::new(sink))
         .level_filter(LevelFilter::MoreSevereEqual(filter(level)))
+        .error_handler(count_lost)
         .build()?;
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
 }
 
+/// Counts a line that was not written, by its event. The library would report it on standard error,
+/// where the process could block.
+fn count_lost(error: Error) {
+    let event = match &error {
+        Error::SendToChannel(_, SendToChannelErrorDropped::Record(record)) => {
+            event::name_of(record.payload()).unwrap_or("other")
+        }
+        _ => "write_failed",
+    };
+    metrics::counter!("mulberrynotch_lost_lines_total", "event" => event.to_owned()).increment(1);
+}
+
 fn filter(level: settings::Level) -> Level {
     match level {
         settings::Level::Error => Level::Error,
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -127,14 +127,15 @@
         state: control::State::Alive,
     };
     let members = [member("vm-1", "zone-a"), member("vm-2", "zone-b")];
-    let text = route::explain(register.clone(), "orders", caller, &members).expect("known");
+    let text =
+        route::register::explain(register.clone(), "orders", caller, &members).expect("known");
     assert!(
         text.contains("orders-1 in zone-a; owner vm-1 (highest"),
         "{text}"
     );
     assert!(text.contains("zone-c has no live balancer"), "{text}");
     assert!(text.contains("orders-3 in zone-c, leaving"), "{text}");
-    let error = route::explain(register, "order", caller, &[]).expect_err("unknown");
+    let error = route::register::explain(register, "order", caller, &[]).expect_err("unknown");
     assert!(error.contains("use one of: orders, gallery"), "{error}");
 }
 
--- /dev/null
+++ b/tests/steer_process.rs
@@ -0,0 +1,293 @@
+//! What operators get from a running balancer: its dump, the way of a packet, and a bounded log.
+
+use std::{
+    io::{
+        Read,
+        Write, //
+    },
+    net::{
+        Ipv4Addr,
+        SocketAddrV4,
+        TcpStream,
+        UdpSocket, //
+    },
+    path::{
+        Path,
+        PathBuf, //
+    },
+    process::{
+        Child,
+        Command,
+        Stdio, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use mulberrynotch_platform_standin::store;
+use mulberrynotch_steer::cookie;
+use serde_json::{
+    Value,
+    json, //
+};
+use tokio::runtime;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_mulberrynotch");
+
+const WAIT: Duration = Duration::from_secs(10);
+
+const PACKETS: u16 = 7_001;
+const READINESS: u16 = 7_002;
+const PEERS: u16 = 7_003;
+const ADMIN: u16 = 7_004;
+
+/// Lines about each kind of belief that a process may write in a second.
+const BELIEF_LINES_PER_SECOND: usize = 200;
+
+/// A balancer with a store of its own, on addresses `127.block.0.0/16`.
+struct Site {
+    block: u8,
+    store: store::Store,
+    balancer: Child,
+    _runtime: runtime::Runtime,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        // It may have ended.
+        let _ = self.balancer.kill();
+        let _ = self.balancer.wait();
+    }
+}
+
+fn route() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
+}
+
+impl Site {
+    fn start(block: u8, output: Stdio) -> Self {
+        let runtime = runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let address = SocketAddrV4::new(Ipv4Addr::new(127, block, 1, 1), 0);
+        let started = runtime.block_on(store::Store::start(address.into(), 100));
+        let store = started.unwrap();
+        let configuration = json!({
+            "version": 7,
+            "routes": [{ "name": "r", "host": route().ip(), "prefix": "/443/", "service": "feed" }],
+            "services": [{ "name": "feed", "warmup_s": 0.5, "warmup_per_s": 4.0 }],
+            "limits": { "idle_timeout_ms": 15_000 },
+        });
+        store.put("op/config", Some(&configuration));
+        let settings = Self::settings(block, &store);
+        let balancer = Command::new(PROGRAM)
+            .args(["steer", "--settings", settings.to_str().unwrap()])
+            .stdout(output)
+            .spawn()
+            .unwrap();
+        let site = Self {
+            block,
+            store,
+            balancer,
+            _runtime: runtime,
+        };
+        site.put_target(1, "ready");
+        site.put_target(2, "draining");
+        site.wait_for("two targets and a confirmed register", |dump| {
+            let targets = dump["targets"].as_array().map_or(0, Vec::len);
+            targets == 2 && dump["register"]["age_ms"].is_u64()
+        });
+        site
+    }
+
+    fn settings(block: u8, store: &store::Store) -> PathBuf {
+        let own = |port| SocketAddrV4::new(Ipv4Addr::new(127, block, 2, 1), port);
+        let settings = json!({
+            "name": "vm-1",
+            "zone": "a",
+            "packet_address": own(PACKETS),
+            "readiness_address": own(READINESS),
+            "peer_address": own(PEERS),
+            "admin_address": own(ADMIN),
+            "store_address": store.address(),
+            "seeds": [],
+        });
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("process-{block}.jsonc"));
+        std::fs::write(&path, settings.to_string()).unwrap();
+        path
+    }
+
+    fn put_target(&self, id: u16, state: &str) {
+        let [high, low] = id.to_be_bytes();
+        let address = SocketAddrV4::new(Ipv4Addr::new(127, self.block, 5 + high, low), 8_000);
+        let entry = json!({
+            "service": "feed", "address": address, "zone": "a", "version": "v1", "capacity": 2,
+            "state": state, "warmup_left_ms": 0, "sequence": 1, "born": 1,
+        });
+        self.store.put(&format!("servers/i-{id:x}"), Some(&entry));
+    }
+
+    fn admin(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::new(127, self.block, 2, 1), ADMIN)
+    }
+
+    /// What a command about the running process prints.
+    fn ask(&self, command: &str, arguments: &[&str]) -> (String, String) {
+        let output = Command::new(PROGRAM)
+            .args([command, "--admin", &self.admin().to_string()])
+            .args(arguments)
+            .output()
+            .unwrap();
+        let text = |bytes| String::from_utf8(bytes).unwrap();
+        (text(output.stdout), text(output.stderr))
+    }
+
+    fn metrics(&self) -> String {
+        let mut stream = TcpStream::connect(self.admin()).unwrap();
+        stream
+            .write_all(b"GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n")
+            .unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        text
+    }
+
+    /// The value of a metric; 0 while nothing was counted.
+    fn metric(&self, name: &str) -> f64 {
+        let metrics = self.metrics();
+        let line = metrics.lines().find(|it| it.starts_with(name));
+        line.and_then(|it| it.rsplit(' ').next()?.parse().ok())
+            .unwrap_or(0.0)
+    }
+
+    fn wait_for(&self, what: &str, holds: impl Fn(&Value) -> bool) {
+        let end = Instant::now() + WAIT;
+        loop {
+            let (dump, error) = self.ask("dump", &["--format", "json"]);
+            let dump = serde_json::from_str(&dump).unwrap_or_default();
+            if holds(&dump) {
+                return;
+            }
+            assert!(
+                Instant::now() < end,
+                "{what} within {WAIT:?}: {dump:#} {error}"
+            );
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
+/// Guards against a dump that lacks what the balancer believes, with its age, and against a way of
+/// a packet that is told without its reason and version.
+#[test]
+fn a_running_balancer_tells_what_it_believes_and_where_a_packet_goes() {
+    let site = Site::start(31, Stdio::null());
+    let (dump, _) = site.ask("dump", &["--format", "json"]);
+    let dump: Value = serde_json::from_str(&dump).unwrap();
+    assert_eq!(dump["register"]["version"], 7);
+    assert!(
+        dump["register"]["age_ms"]
+            .as_u64()
+            .is_some_and(|age| age < 2_000),
+        "{dump:#}"
+    );
+    assert_eq!(dump["targets"][1]["state"], "Draining");
+
+    let asked = ["--caller", "100.64.0.7:4001", "--address", "198.18.0.1:443"];
+    let (text, error) = site.ask("route", &asked);
+    assert!(
+        text.starts_with("opens on the least loaded target; target 1 at"),
+        "{text}{error}"
+    );
+    assert!(text.contains("decided by vm-1, configuration 7"), "{text}");
+    assert!(text.contains("  2 Draining near"), "{text}");
+
+    let cookie = cookie::of(2).to_string();
+    let (json, _) = site.ask(
+        "route",
+        &[&asked[..], &["--cookie", &cookie, "--format", "json"]].concat(),
+    );
+    let json: Value = serde_json::from_str(&json).unwrap();
+    assert_eq!(json["outcome"], "carried to the target of its cookie");
+    assert_eq!(json["target"], "2");
+
+    let (_, error) = site.ask(
+        "route",
+        &["--caller", "100.64.0.7:4001", "--address", "[::1]:443"],
+    );
+    assert!(
+        error.contains("write CLIENT_IP:PORT/ADDRESS_IP:PORT"),
+        "{error}"
+    );
+}
+
+/// Guards against a log whose volume grows with the number of targets that change.
+#[test]
+fn lines_about_many_changed_targets_are_limited_and_counted() {
+    let log = Path::new(env!("CARGO_TARGET_TMPDIR")).join("limited.log");
+    let site = Site::start(32, std::fs::File::create(&log).unwrap().into());
+    let began = Instant::now();
+    let targets = 1_500;
+    for id in 10..10 + targets {
+        site.put_target(id, "ready");
+    }
+    site.wait_for("all targets", |dump| {
+        dump["targets"]
+            .as_array()
+            .is_some_and(|it| it.len() == usize::from(targets) + 2)
+    });
+    let windows = usize::try_from(began.elapsed().as_secs()).unwrap() + 2;
+    let suppressed = site.metric("mulberrynotch_suppressed_lines_total{event=\"target\"}");
+    // The lines are written by a thread of their own.
+    thread::sleep(Duration::from_millis(300));
+    let log = std::fs::read_to_string(log).unwrap();
+    let written = log
+        .lines()
+        .filter(|it| it.contains("event=target "))
+        .count();
+    assert!(
+        written <= windows * BELIEF_LINES_PER_SECOND,
+        "{written} lines in {windows} s"
+    );
+    let told = f64::from(u32::try_from(written).unwrap()) + suppressed;
+    assert!(
+        (told - f64::from(targets) - 2.0).abs() < 0.5,
+        "{written} written, {suppressed} counted"
+    );
+}
+
+/// Guards against a reader of the log that stalls and with it the packets, and against lines that
+/// are lost without a count.
+#[test]
+fn a_stalled_reader_of_the_log_holds_nothing_up() {
+    let mut site = Site::start(33, Stdio::piped());
+    let unread = site.balancer.stdout.take().unwrap();
+    let socket = UdpSocket::bind((Ipv4Addr::new(127, 33, 4, 1), 0)).unwrap();
+    let end = Instant::now() + Duration::from_secs(30);
+    let lost = "mulberrynotch_lost_lines_total{event=\"target\"}";
+    let mut state = ["draining", "ready"].iter().cycle();
+    while site.metric(lost) < 1.0 {
+        assert!(
+            Instant::now() < end,
+            "no line was lost, so the reader did not stall"
+        );
+        let state = state.next().unwrap();
+        for id in 10..400 {
+            site.put_target(id, state);
+        }
+        thread::sleep(Duration::from_millis(200));
+    }
+    let before = site.metric("mulberrynotch_undecodable_packets_total");
+    socket
+        .send_to(b"?", (Ipv4Addr::new(127, 33, 2, 1), PACKETS))
+        .unwrap();
+    thread::sleep(Duration::from_millis(300));
+    let handled = site.metric("mulberrynotch_undecodable_packets_total") - before;
+    assert!((handled - 1.0).abs() < 0.5, "the packet was not handled");
+    drop(unread);
+}
