Tell live members of a large zone from dead ones

Cause: in a zone of 100 balancers a heartbeat carries 5 members to 2 peers, so news of one member is 3 to 4 s old on average, and the 4.5 s limit took half of the live ones for dead: the reader did not send them changes, and up to 6 balancers took themselves for the first reader.

Ruled out: only more members in a heartbeat; at 10 of 99 the least informed one still knew 75, at 714 bytes a second.

Before and after: 18 to 50 live members known at the least informed of 100, now 90 or more, below the 2 KB/s of control traffic.

--- a/crates/mulberrynotch_steer/src/fleet.rs
+++ b/crates/mulberrynotch_steer/src/fleet.rs
@@ -23,8 +23,11 @@
 /// Heartbeats of which one also goes to an address that may be dead or cut off.
 const SILENT_PERIOD: u64 = 4;
 
-/// Members of the own zone that one heartbeat carries.
-const NEAR_SAMPLE: usize = 5;
+/// Members of the own zone that one heartbeat carries at least, and at most.
+const NEAR_SAMPLE: (usize, usize) = (5, 12);
+
+/// Members of the own zone for each one that a heartbeat carries.
+const SAMPLED_PART: usize = 8;
 
 /// Members of other zones that one heartbeat carries.
 const FAR_SAMPLE: usize = 1;
@@ -38,9 +41,16 @@
 /// Silence after which a member is taken for dead, in a zone where all hear each other.
 const DEAD_AFTER: Duration = Duration::from_millis(1_400);
 
-/// Silence after which a member is taken for dead that is heard of through others.
+/// Silence after which a member is taken for dead that is heard of through others, in a zone of up
+/// to [`LARGE_ZONE`] members. News of a member comes more rarely in a larger one.
 const DEAD_AFTER_RELAYED: Duration = Duration::from_millis(4_500);
 
+/// Members of a zone from which on the silence of a live one grows with their number.
+const LARGE_ZONE: usize = 32;
+
+/// Longest silence of a live member.
+const LONGEST_SILENCE: Duration = Duration::from_secs(12);
+
 /// Silence after which a member is forgotten.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(20);
 
@@ -149,6 +159,16 @@
             .map(|(address, _)| *address)
     }
 
+    /// Live members of the own zone, those heard of last first: they are the most likely to live.
+    pub fn freshest(&self, now: Duration) -> Vec<SocketAddrV4> {
+        let mut members: Vec<_> = self.live(now, &self.me.zone).collect();
+        members.sort_by_key(|it| {
+            let heard_at = self.members.get(it).map(|member| member.heard_at);
+            std::cmp::Reverse(heard_at)
+        });
+        members
+    }
+
     /// Live members of all zones, without the process itself.
     pub fn live_anywhere(&self, now: Duration) -> impl Iterator<Item = SocketAddrV4> {
         let limit = DEAD_AFTER_RELAYED;
@@ -171,10 +191,16 @@
     }
 
     fn dead_after(&self, zone: &str) -> Duration {
-        if *zone == *self.me.zone && self.zone_size() <= FULL_MESH {
-            DEAD_AFTER
-        } else {
-            DEAD_AFTER_RELAYED
+        match self.zone_size() {
+            _ if *zone != *self.me.zone => DEAD_AFTER_RELAYED,
+            size if size <= FULL_MESH => DEAD_AFTER,
+            size if size <= LARGE_ZONE => DEAD_AFTER_RELAYED,
+            size => {
+                let size = u32::try_from(size).unwrap_or(u32::MAX);
+                let large = u32::try_from(LARGE_ZONE).unwrap_or(1);
+                let silence = DEAD_AFTER_RELAYED.saturating_mul(size) / large;
+                silence.min(LONGEST_SILENCE)
+            }
         }
     }
 
@@ -240,9 +266,11 @@
     /// Members that a heartbeat carries.
     pub fn gossip(&mut self, now: Duration) -> Vec<message::Member> {
         let own_zone = self.me.zone.clone();
-        let near = self.live(now, &own_zone).collect();
+        let near: Vec<_> = self.live(now, &own_zone).collect();
         let far = self.live_elsewhere(now);
-        let mut told = self.told(now, near, NEAR_SAMPLE);
+        let (least, most) = NEAR_SAMPLE;
+        let sample = (near.len() / SAMPLED_PART).clamp(least, most);
+        let mut told = self.told(now, near, sample);
         told.extend(self.told(now, far, FAR_SAMPLE));
         told
     }
--- /dev/null
+++ b/crates/mulberrynotch_steer/tests/spread.rs
@@ -0,0 +1,219 @@
+//! The spread of records from the reader of a zone to its peers.
+
+mod fixture;
+
+use fixture::{
+    at,
+    configuration,
+    entry,
+    fleet::Fleet,
+    removal,
+    route,
+    target, //
+};
+use mulberrynotch_steer::{
+    catalog,
+    message,
+    patch,
+    record, //
+};
+use quickcheck::{
+    Gen,
+    QuickCheck, //
+};
+
+const SEED: u64 = 20_261_204;
+
+/// Control traffic that a balancer may send in a second, in bytes.
+const CONTROL_BYTES: usize = 2_048;
+
+/// Guards against a change that waits for the next watch, or is lost on the way to the peers.
+#[test]
+fn a_change_reaches_every_balancer_within_half_a_second() {
+    let mut fleet = Fleet::new(8);
+    fleet.run(3_000);
+    fleet.publish(configuration(9, 50, &[route()]));
+    fleet.run(500);
+    assert_eq!(fleet.versions(), vec![9; 8]);
+}
+
+/// Guards against peers that fetch everything from the reader when many targets change at once.
+#[test]
+fn many_changes_at_once_reach_the_peers_without_a_fetch() {
+    let mut fleet = Fleet::new(4);
+    fleet.run(3_000);
+    fleet.pulls = 0;
+    for id in 100..160 {
+        fleet.publish(target(id, id, entry("a")));
+    }
+    fleet.publish(configuration(
+        9,
+        200,
+        &[route(), fixture::address(201, 443)],
+    ));
+    fleet.run(300);
+    assert_eq!(fleet.versions(), vec![9; 4]);
+    assert!(
+        fleet
+            .machines
+            .values()
+            .all(|it| it.catalog().targets().count() == 61)
+    );
+    assert_eq!(fleet.pulls, 0);
+}
+
+/// Guards against a version that goes back, or a drained target that gets a new flow, in any
+/// order of two changes at two processes: every interleaving is played.
+#[test]
+fn no_order_of_changes_takes_a_process_back() {
+    let mut draining = entry("a");
+    draining.draining = true;
+    let steps = [
+        configuration(2, 10, &[route()]),
+        configuration(3, 11, &[route()]),
+        target(7, 12, draining),
+        removal(record::Key::Target(record::Id(7)), 13),
+        target(7, 14, entry("a")),
+    ];
+    for order in orders(steps.len()) {
+        let mut catalog = catalog::Catalog::default();
+        let base = vec![configuration(1, 1, &[route()]), target(7, 2, entry("a"))];
+        catalog.replace(at(0), 5, base);
+        let (mut version, mut revision) = (1, 2);
+        for step in &order {
+            let record = steps[*step].clone();
+            catalog.change(at(10), 5, record.revision, vec![record]);
+            let now_version = catalog.configuration().version;
+            let now_revision = catalog.target(record::Id(7)).unwrap().revision;
+            assert!(
+                now_version >= version && now_revision >= revision,
+                "{order:?}"
+            );
+            (version, revision) = (now_version, now_revision);
+        }
+        assert_eq!((version, revision), (3, 14), "{order:?}");
+        let taking = catalog
+            .targets_of("feed")
+            .filter(|it| catalog.exclusion(at(20), it).is_none());
+        assert_eq!(taking.count(), 1, "{order:?}");
+    }
+}
+
+fn orders(count: usize) -> Vec<Vec<usize>> {
+    if count == 0 {
+        return vec![Vec::new()];
+    }
+    let shorter = orders(count - 1);
+    let longer = shorter.iter().flat_map(|order| {
+        (0..count).map(move |place| {
+            let mut order = order.clone();
+            order.insert(place, count - 1);
+            order
+        })
+    });
+    longer.collect()
+}
+
+/// Guards against peers that agree on nothing after they exchanged what each has.
+#[test]
+fn a_fetch_from_a_peer_gives_what_the_peer_has() {
+    fn holds(changes: Vec<(u8, bool)>, known: u8) -> bool {
+        let mut peer = catalog::Catalog::default();
+        peer.replace(at(0), 1, vec![configuration(1, 1, &[route()])]);
+        let mut behind = catalog::Catalog::default();
+        behind.replace(at(0), 1, vec![configuration(1, 1, &[route()])]);
+        for (step, (id, present)) in changes.into_iter().enumerate() {
+            let revision = 2 + u64::try_from(step).unwrap();
+            let record = if present {
+                target(u64::from(id % 6), revision, entry("a"))
+            } else {
+                removal(record::Key::Target(record::Id(u64::from(id % 6))), revision)
+            };
+            peer.change(at(1), revision - 1, revision, vec![record.clone()]);
+            if step < usize::from(known) {
+                behind.change(at(1), revision - 1, revision, vec![record]);
+            }
+        }
+        let since = behind.as_of();
+        behind.change(at(2), since, peer.as_of(), peer.since(at(2), since));
+        let states = |catalog: &catalog::Catalog| {
+            let states = (0..6).map(|id| catalog.target(record::Id(id)).map(|it| it.state(at(3))));
+            states.collect::<Vec<_>>()
+        };
+        behind.as_of() == peer.as_of() && states(&behind) == states(&peer)
+    }
+    println!("seed {SEED}");
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, SEED))
+        .tests(300)
+        .quickcheck(holds as fn(Vec<(u8, bool)>, u8) -> bool);
+}
+
+/// Guards against a configuration that a patch makes different from the published one.
+#[test]
+fn a_patch_leads_from_one_configuration_to_the_next() {
+    fn holds(before: Vec<u8>, after: Vec<u8>) -> bool {
+        let make = |version, ports: &[u8]| {
+            let mut ports = ports.to_vec();
+            ports.sort_unstable();
+            ports.dedup();
+            let routes: Vec<_> = ports
+                .iter()
+                .map(|it| fixture::address(200, (*it).into()))
+                .collect();
+            match configuration(version, 1, &routes).body {
+                Some(record::Body::Configuration(made)) => made,
+                _ => unreachable!("a configuration"),
+            }
+        };
+        let (base, next) = (make(3, &before), make(5, &after));
+        let patch = patch::Patch::between(&base, &next, 9);
+        let other = make(4, &before);
+        patch.apply(&base).as_ref() == Some(&*next) && patch.apply(&other).is_none()
+    }
+    println!("seed {SEED}");
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, SEED))
+        .tests(300)
+        .quickcheck(holds as fn(Vec<u8>, Vec<u8>) -> bool);
+}
+
+/// Guards against messages that bring a process down.
+#[test]
+fn random_messages_are_refused_or_taken() {
+    fn holds(bytes: Vec<u8>) -> bool {
+        let mut machine = fixture::machine(vec![target(7, 2, entry("a"))]);
+        if let Ok(message) = postcard::from_bytes::<message::Message>(&bytes) {
+            machine.receive(at(10), fixture::address(2, 7_000), message);
+        }
+        if let Ok(pulled) = postcard::from_bytes::<message::Pulled>(&bytes) {
+            machine.pulled(at(10), fixture::address(2, 7_000), at(9), pulled);
+        }
+        machine.tick(at(20));
+        true
+    }
+    println!("seed {SEED}");
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(200, SEED))
+        .tests(2_000)
+        .quickcheck(holds as fn(Vec<u8>) -> bool);
+}
+
+/// Guards against live members that are taken for dead in a large zone, where news of each one is
+/// rare: changes are not sent to them, and several take themselves for the first reader.
+#[test]
+fn balancers_of_a_large_zone_know_each_other() {
+    let mut fleet = Fleet::new(100);
+    fleet.run(10_000);
+    for _ in 0..5 {
+        fleet.sent.clear();
+        fleet.run(2_000);
+        let known = fleet.machines.values();
+        let known = known.map(|it| it.fleet().freshest(fleet.now).len());
+        let least = known.min().unwrap();
+        assert!(least >= 90, "one knows {least} of 99");
+        let sent: usize = fleet.sent.values().sum();
+        let per_second = sent / fleet.machines.len() / 2;
+        assert!(per_second < CONTROL_BYTES, "{per_second} bytes a second");
+    }
+}
--- a/crates/mulberrynotch_steer/tests/steering.rs
+++ b/crates/mulberrynotch_steer/tests/steering.rs
@@ -18,6 +18,7 @@
 use mulberrynotch_steer::{
     cookie,
     machine::Verdict,
+    ramp,
     record, //
 };
 use quickcheck::{
@@ -335,3 +336,25 @@
         .tests(200)
         .quickcheck(holds as fn(Vec<(u8, u8, bool)>) -> bool);
 }
+
+/// Guards against a share of a cold target's rate that is too large when balancers are many.
+#[test]
+fn the_shares_of_all_balancers_stay_below_a_cold_targets_rate() {
+    for senders in [1, 6, 75] {
+        let mut flows = 0;
+        let mut ramp = ramp::Ramp::default();
+        for step in 0..1_000_u64 {
+            let now = at(step * 100);
+            if ramp.admits(now, record::Id(1), 5_000, senders) {
+                ramp.note(now, record::Id(1));
+                flows += 1;
+            }
+        }
+        // 100 seconds at 5 flows a second, for one of the senders.
+        assert!(
+            flows * senders <= 500 + senders,
+            "{flows} flows of {senders}"
+        );
+    }
+    assert!(!ramp::Ramp::default().admits(at(0), record::Id(1), 0, 1));
+}
