Pass changes on along a tree in zones of more than 32 peers

Ruled out: leaving large zones to heartbeats; that takes 1 s and more.

Change: a push names the peers that its receiver passes it on to, at most four copies each; a balancer passes on only what it has itself, so peers that find a gap fetch it where it is. Peers heard of last become the heads, since they are the most likely to live.

--- a/crates/mulberrynotch_steer/src/lib.rs
+++ b/crates/mulberrynotch_steer/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod ramp;
 pub mod reader;
 pub mod record;
+pub mod spread;
 
 /// The modules that most users of this crate import.
 pub mod prelude {
--- a/crates/mulberrynotch_steer/src/machine.rs
+++ b/crates/mulberrynotch_steer/src/machine.rs
@@ -11,7 +11,10 @@
 mod time;
 
 use std::{
-    collections::BTreeSet,
+    collections::{
+        BTreeSet,
+        VecDeque, //
+    },
     net::SocketAddrV4,
     time::Duration, //
 };
@@ -166,6 +169,8 @@
     /// A revision that a peer has and this process lacks, and since when.
     behind: Option<(u64, SocketAddrV4, Duration)>,
     pulled_at: Option<Duration>,
+    /// Changes to pass on to peers, which wait until this process has caught up.
+    relayed: VecDeque<message::Push>,
     /// True once a peer has told of targets that were removed before the process started.
     remembers: bool,
     leaving: bool,
@@ -194,6 +199,7 @@
             reader_at: None,
             behind: None,
             pulled_at: None,
+            relayed: VecDeque::new(),
             remembers: false,
             leaving: false,
             heartbeat_at: Duration::ZERO,
--- a/crates/mulberrynotch_steer/src/machine/fetch.rs
+++ b/crates/mulberrynotch_steer/src/machine/fetch.rs
@@ -125,5 +125,6 @@
                 self.confirm(at);
             }
         }
+        self.pass_on();
     }
 }
--- a/crates/mulberrynotch_steer/src/machine/heartbeat.rs
+++ b/crates/mulberrynotch_steer/src/machine/heartbeat.rs
@@ -64,7 +64,7 @@
                     self.fleet.learn(now, &member);
                 }
             }
-            message::Message::Changes(changes) => self.take_changes(now, from, changes),
+            message::Message::Push(push) => self.take_push(now, from, push),
             message::Message::Doubt(doubt) => self.take_doubt(now, from, &doubt),
             message::Message::Alive(alive) => self.take_alive(now, &alive),
         }
--- a/crates/mulberrynotch_steer/src/machine/push.rs
+++ b/crates/mulberrynotch_steer/src/machine/push.rs
@@ -1,6 +1,7 @@
 //! Changes that a reader sends to its zone.
 
 use std::{
+    collections::VecDeque,
     net::SocketAddrV4,
     sync::Arc,
     time::Duration, //
@@ -13,7 +14,8 @@
 use crate::{
     message,
     patch,
-    record, //
+    record,
+    spread, //
 };
 
 impl Machine {
@@ -41,23 +43,55 @@
         patch: Option<patch::Patch>,
         records: Vec<record::Record>,
     ) {
-        let parts = parts(since, as_of, patch, records);
-        let zone = self.fleet.me().zone.clone();
-        let peers: Vec<_> = self.fleet.live(now, &zone).collect();
-        for part in parts {
-            for to in &peers {
-                let message = message::Message::Changes(part.clone());
-                self.actions.push(Action::Send { to: *to, message });
+        let branches = spread::branches(&self.fleet.freshest(now), spread::DIRECT);
+        for part in parts(since, as_of, patch, records) {
+            self.push(part, &branches);
+        }
+    }
+
+    fn push(&mut self, changes: message::Changes, branches: &[spread::Branch]) {
+        for branch in branches {
+            let push = message::Push {
+                changes: changes.clone(),
+                relay: branch.rest.clone(),
+            };
+            self.actions.push(Action::Send {
+                to: branch.head,
+                message: message::Message::Push(push),
+            });
+        }
+    }
+
+    /// Takes in changes and passes them on.
+    pub(super) fn take_push(&mut self, now: Duration, from: SocketAddrV4, push: message::Push) {
+        let relayed = (!push.relay.is_empty()).then(|| push.clone());
+        self.take_changes(now, from, push.changes);
+        if let Some(relayed) = relayed {
+            if self.relayed.len() == MAX_RELAYED {
+                // Its peers hear from others that they are behind.
+                self.relayed.pop_front();
             }
+            self.relayed.push_back(relayed);
+            self.pass_on();
         }
     }
 
-    pub(super) fn take_changes(
-        &mut self,
-        now: Duration,
-        from: SocketAddrV4,
-        changes: message::Changes,
-    ) {
+    /// Passes on the changes that this process has itself: peers that find a gap in them fetch what
+    /// lies in it from here.
+    pub(super) fn pass_on(&mut self) {
+        let known = self.catalog.as_of();
+        let (ready, waiting) = std::mem::take(&mut self.relayed)
+            .into_iter()
+            .partition(|it| it.changes.as_of <= known);
+        self.relayed = waiting;
+        let ready: VecDeque<message::Push> = ready;
+        for push in ready {
+            let branches = spread::branches(&push.relay, spread::FANOUT);
+            self.push(push.changes, &branches);
+        }
+    }
+
+    fn take_changes(&mut self, now: Duration, from: SocketAddrV4, changes: message::Changes) {
         let (since, as_of) = (changes.since, changes.as_of);
         let mut records = changes.records;
         let patched = match &changes.patch {
@@ -95,6 +129,9 @@
     }
 }
 
+/// Changes that wait at most until this process has what they follow on.
+const MAX_RELAYED: usize = 32;
+
 /// Records that one datagram carries at most.
 const MAX_PUSHED: usize = 12;
 
--- a/crates/mulberrynotch_steer/src/message.rs
+++ b/crates/mulberrynotch_steer/src/message.rs
@@ -18,7 +18,7 @@
         /// Answer to a heartbeat of a process that has just started.
         Members(Vec<Member>),
         /// Records that changed.
-        Changes(Changes),
+        Push(Push),
         /// A target stopped making progress.
         Doubt(Doubt),
         /// A target makes progress.
@@ -57,6 +57,14 @@
         pub silent_ms: u32,
     }
 
+    /// Changes on their way through a zone.
+    pub struct Push {
+        /// The changes.
+        pub changes: Changes,
+        /// Peers that the receiver passes them on to.
+        pub relay: Vec<SocketAddrV4>,
+    }
+
     /// Records that changed between two revisions.
     pub struct Changes {
         /// Every change after this revision is contained.
--- a/crates/mulberrynotch_steer/tests/spread.rs
+++ b/crates/mulberrynotch_steer/tests/spread.rs
@@ -27,6 +27,9 @@
 /// Control traffic that a balancer may send in a second, in bytes.
 const CONTROL_BYTES: usize = 2_048;
 
+/// Bytes that the thinnest link carries in a second, 10 Mbit/s.
+const THINNEST_LINK: usize = 1_250_000;
+
 /// Guards against a change that waits for the next watch, or is lost on the way to the peers.
 #[test]
 fn a_change_reaches_every_balancer_within_half_a_second() {
@@ -217,3 +220,28 @@
         assert!(per_second < CONTROL_BYTES, "{per_second} bytes a second");
     }
 }
+
+/// Guards against a reader whose link is full when everything changes in a large zone, so that
+/// changes are late at most of its peers.
+#[test]
+fn no_balancer_of_a_large_zone_sends_more_than_a_thin_link_bears() {
+    let mut fleet = Fleet::new(100);
+    fleet.run(5_000);
+    fleet.sent.clear();
+    for id in 100..3_100 {
+        fleet.publish(target(id, id, entry("a")));
+    }
+    let routes: Vec<_> = (1..500).map(|port| fixture::address(201, port)).collect();
+    fleet.publish(configuration(9, 4_000, &routes));
+    fleet.run(1_000);
+    let busiest = fleet.sent.values().max().copied().unwrap();
+    assert!(
+        busiest <= THINNEST_LINK,
+        "{busiest} bytes from one balancer"
+    );
+    let behind = fleet
+        .machines
+        .values()
+        .filter(|it| it.catalog().as_of() < 4_000);
+    assert_eq!(behind.count(), 0, "balancers that lack changes after 1 s");
+}
