Send the first messages of a process, and number the message format anew

Messages have a new form since pushes name those they are passed on to; a fleet of two versions read them as damaged.

Ruled out: a full socket buffer; the first line of each process was the unsent message.

Before and after: the_first_message_of_a_process_is_sent fails before and passes after; a mixed fleet refuses messages by their first byte.

--- a/crates/mulberrynotch_net/src/steer/mod.rs
+++ b/crates/mulberrynotch_net/src/steer/mod.rs
@@ -174,6 +174,10 @@
         let peer_error = |error| Error::Bind("peer_address", peer_address, error);
         let peers = UdpSocket::bind(peer_address).await.map_err(peer_error)?;
         let pulls = TcpListener::bind(peer_address).await.map_err(peer_error)?;
+        // The runtime takes a new socket for full until it has heard of it from the system.
+        for socket in [&packets, &peers] {
+            socket.writable().await.map_err(peer_error)?;
+        }
         let machine = start_machine(&settings);
         Ok(Arc::new(Self {
             ports,
--- a/crates/mulberrynotch_net/src/steer/peer.rs
+++ b/crates/mulberrynotch_net/src/steer/peer.rs
@@ -27,8 +27,8 @@
 };
 use crate::event;
 
-/// First byte of each message; the format is known by it.
-const FORMAT: u8 = 0x51;
+/// First byte of each message; the format is known by it, and changes with the messages.
+const FORMAT: u8 = 0x52;
 
 /// Longest datagram between balancers, in bytes; most are far shorter.
 const MAX_DATAGRAM: usize = 8_192;
--- a/tests/steer_process.rs
+++ b/tests/steer_process.rs
@@ -7,6 +7,7 @@
     },
     net::{
         Ipv4Addr,
+        SocketAddr,
         SocketAddrV4,
         TcpStream,
         UdpSocket, //
@@ -69,6 +70,10 @@
 
 impl Site {
     fn start(block: u8, output: Stdio) -> Self {
+        Self::start_with_seeds(block, output, &[])
+    }
+
+    fn start_with_seeds(block: u8, output: Stdio, seeds: &[SocketAddr]) -> Self {
         let runtime = runtime::Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
@@ -84,7 +89,7 @@
             "limits": { "idle_timeout_ms": 15_000 },
         });
         store.put("op/config", Some(&configuration));
-        let settings = Self::settings(block, &store);
+        let settings = Self::settings(block, &store, seeds);
         let balancer = Command::new(PROGRAM)
             .args(["steer", "--settings", settings.to_str().unwrap()])
             .stdout(output)
@@ -105,7 +110,7 @@
         site
     }
 
-    fn settings(block: u8, store: &store::Store) -> PathBuf {
+    fn settings(block: u8, store: &store::Store, seeds: &[SocketAddr]) -> PathBuf {
         let own = |port| SocketAddrV4::new(Ipv4Addr::new(127, block, 2, 1), port);
         let settings = json!({
             "name": "vm-1",
@@ -115,7 +120,7 @@
             "peer_address": own(PEERS),
             "admin_address": own(ADMIN),
             "store_address": store.address(),
-            "seeds": [],
+            "seeds": seeds,
         });
         let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("process-{block}.jsonc"));
         std::fs::write(&path, settings.to_string()).unwrap();
@@ -291,3 +296,18 @@
     assert!((handled - 1.0).abs() < 0.5, "the packet was not handled");
     drop(unread);
 }
+
+/// Guards against a process whose first messages are lost, so that it joins its peers late: the
+/// runtime takes a new socket for full until it has heard of it from the system.
+#[test]
+fn the_first_message_of_a_process_is_sent() {
+    let seed = UdpSocket::bind((Ipv4Addr::new(127, 34, 3, 1), PEERS)).unwrap();
+    let log = Path::new(env!("CARGO_TARGET_TMPDIR")).join("first.log");
+    let output = std::fs::File::create(&log).unwrap().into();
+    let site = Site::start_with_seeds(34, output, &[seed.local_addr().unwrap()]);
+    seed.set_read_timeout(Some(WAIT)).unwrap();
+    seed.recv(&mut [0; 2_048]).unwrap();
+    drop(site);
+    let log = std::fs::read_to_string(log).unwrap();
+    assert!(!log.contains("event=message_unsent"), "{log}");
+}
