Drop evidence on a target that has started anew

Cause: a target may start again under its identifier. Its start was carried (born_ms) and read by nothing, so a target held for dead stayed without flows until its next probe, up to 2.4 s, and balancers that took it back at different times could reset the flows that another one had opened there. The time after which ends may forget a silent flow (idle_ms) was carried and not read either.

Ruled out: resetting open flows at the new start; some may have been opened after it, before the entry was known here.

After: all balancers drop the verdict with the entry, which reaches them together; records of flows end by the published time. Test first: a_target_that_started_anew_takes_flows_at_once.

--- a/crates/mulberrynotch_net/src/steer/line.rs
+++ b/crates/mulberrynotch_net/src/steer/line.rs
@@ -237,6 +237,7 @@
             id,
             revision,
             state,
+            restarted,
         } => limited(
             &TARGETS,
             now,
@@ -245,6 +246,7 @@
                 ("target", &Target(*id)),
                 ("state", &Name(state)),
                 ("revision", revision),
+                ("restarted", restarted),
                 ("as_of", &as_of),
             ],
         ),
--- a/crates/mulberrynotch_steer/src/catalog.rs
+++ b/crates/mulberrynotch_steer/src/catalog.rs
@@ -71,6 +71,8 @@
             revision: u64,
             /// What the target is now.
             state: State,
+            /// True when the target has started anew under its identifier.
+            restarted: bool,
         },
     }
 
@@ -406,6 +408,7 @@
         if known.is_some_and(|it| it.revision >= record.revision) {
             return None;
         }
+        let born_before = known.map(|it| it.entry.born_ms);
         let removed_at = record.removed_ms.map(|ago| {
             let before = known.and_then(|it| it.removed_at);
             before.unwrap_or_else(|| now.saturating_sub(Duration::from_millis(ago.into())))
@@ -416,11 +419,13 @@
             }
             _ => self.remove(now, id, record.revision, doubtful)?,
         }
-        let state = self.targets.get(&id)?.state(now);
+        let target = self.targets.get(&id)?;
+        let born_after = target.entry.born_ms;
         Some(Change::Target {
             id,
             revision: record.revision,
-            state,
+            state: target.state(now),
+            restarted: born_before.is_some_and(|before| before < born_after),
         })
     }
 
--- a/crates/mulberrynotch_steer/src/evidence.rs
+++ b/crates/mulberrynotch_steer/src/evidence.rs
@@ -323,6 +323,14 @@
             .collect()
     }
 
+    /// Forgets what is known of a target, since it has started anew; returns the former verdict if
+    /// it was not good.
+    pub fn forget(&mut self, target: record::Id) -> Option<Verdict> {
+        let before = self.verdict(target);
+        self.cases.remove(&target);
+        (before != Verdict::Good).then_some(before)
+    }
+
     /// Forgets targets that are no longer known.
     pub fn retain(&mut self, known: impl Fn(record::Id) -> bool) {
         self.cases.retain(|id, _| known(*id));
--- a/crates/mulberrynotch_steer/src/flow.rs
+++ b/crates/mulberrynotch_steer/src/flow.rs
@@ -30,8 +30,8 @@
 /// Shortest time after which an end sends data again; the same data earlier is out of order.
 const RETRANSMISSION: Duration = Duration::from_millis(180);
 
-/// Silence after which the record of a flow is dropped.
-const IDLE: Duration = Duration::from_secs(16);
+/// Time for which the record of a flow outlives the silence after which its ends may forget it.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
 /// Targets that one flow's opening packets may go to: the first and one for each copy.
 const MAX_TRIED: usize = 4;
@@ -205,10 +205,11 @@
         taken
     }
 
-    /// Drops the records of flows that have been silent for long.
-    pub fn expire(&mut self, now: Duration) {
+    /// Drops the records of flows that have been silent for longer than `idle`.
+    pub fn expire(&mut self, now: Duration, idle: Duration) {
+        let limit = idle + IDLE_MARGIN;
         self.flows
-            .retain(|_, it| now.saturating_sub(it.last_at) < IDLE);
+            .retain(|_, it| now.saturating_sub(it.last_at) < limit);
     }
 }
 
--- a/crates/mulberrynotch_steer/src/machine/fetch.rs
+++ b/crates/mulberrynotch_steer/src/machine/fetch.rs
@@ -118,7 +118,7 @@
         if !changes.is_empty() {
             self.log(Event::Pulled { from, as_of });
         }
-        self.log_changes(changes);
+        self.note_changes(now, changes);
         if as_of <= self.catalog.as_of() {
             let age = Duration::from_millis(pulled.confirmed_ms.into());
             if let Some(at) = started.checked_sub(age) {
--- a/crates/mulberrynotch_steer/src/machine/push.rs
+++ b/crates/mulberrynotch_steer/src/machine/push.rs
@@ -101,7 +101,7 @@
         // Without the configuration the changes are not complete.
         let since = if patched { since } else { as_of };
         let taken = self.catalog.change(now, since, as_of, records);
-        self.log_changes(taken);
+        self.note_changes(now, taken);
         if self.catalog.as_of() < as_of {
             self.note_source(now, from, as_of);
             self.pull(now, from);
--- a/crates/mulberrynotch_steer/src/machine/store.rs
+++ b/crates/mulberrynotch_steer/src/machine/store.rs
@@ -47,7 +47,7 @@
     pub fn listed(&mut self, now: Duration, as_of: u64, records: Vec<record::Record>) {
         let ended = self.ended(now, reader::Outcome::Answered { changed: true });
         let changes = self.catalog.replace(now, as_of, records);
-        self.log_changes(changes);
+        self.note_changes(now, changes);
         // A stale answer says nothing of what is current.
         if let Some((reader::Call::List { stale: false, .. }, started)) = ended {
             self.confirm(started);
@@ -60,7 +60,7 @@
         self.ended(now, reader::Outcome::Answered { changed });
         let base = self.catalog.configuration().clone();
         let changes = self.catalog.change(now, after, as_of, records.clone());
-        self.log_changes(changes);
+        self.note_changes(now, changes);
         self.confirm(now);
         if changed {
             let patch = self.patch(&base, &records);
@@ -112,10 +112,21 @@
         }
     }
 
-    pub(super) fn log_changes(&mut self, changes: Vec<catalog::Change>) {
+    /// Logs changes of the register, and drops evidence on targets that have started anew. All
+    /// balancers learn of the start together, so none resets flows that another one opened there.
+    pub(super) fn note_changes(&mut self, now: Duration, changes: Vec<catalog::Change>) {
         let as_of = self.catalog.as_of();
         for change in changes {
+            let restarted = match change {
+                catalog::Change::Target { id, restarted, .. } if restarted => Some(id),
+                _ => None,
+            };
             self.log(Event::Changed { change, as_of });
+            if let Some(id) = restarted
+                && self.evidence.forget(id).is_some()
+            {
+                self.log_verdict(now, id);
+            }
         }
     }
 }
--- a/crates/mulberrynotch_steer/src/machine/time.rs
+++ b/crates/mulberrynotch_steer/src/machine/time.rs
@@ -49,7 +49,8 @@
     pub(super) fn clean(&mut self, now: Duration) {
         self.cleaned_at = now;
         self.catalog.expire(now);
-        self.flows.expire(now);
+        let idle = self.catalog.configuration().idle_ms;
+        self.flows.expire(now, Duration::from_millis(idle.into()));
         self.fleet.expire(now);
         let catalog = &self.catalog;
         let known = |id: record::Id| catalog.target(id).is_some();
--- a/crates/mulberrynotch_steer/tests/evidence.rs
+++ b/crates/mulberrynotch_steer/tests/evidence.rs
@@ -127,6 +127,26 @@
     );
 }
 
+/// Guards against a target that has started anew and stays without flows until it is probed, while
+/// balancers that learn of it at different times reset each other's flows there.
+#[test]
+fn a_target_that_started_anew_takes_flows_at_once() {
+    let mut machine = with_flows();
+    requests(&mut machine, 1_000);
+    pass(&mut machine, 1_000, 2_000, Probe::Silent);
+    let again = mulberrynotch_steer::record::Target {
+        born_ms: 2,
+        ..entry("a")
+    };
+    machine.watched(at(2_000), 100, 101, vec![target(7, 101, entry("a"))]);
+    assert_eq!(machine.evidence().verdict(DARK), Verdict::Dead);
+    machine.watched(at(2_010), 101, 102, vec![target(7, 102, again)]);
+    assert_eq!(machine.evidence().verdict(DARK), Verdict::Good);
+    let opened_elsewhere = data(300, 7, 1, 1, 10);
+    let verdict = machine.packet(at(2_020), &opened_elsewhere);
+    assert_eq!(fixture::forwarded(verdict), Some(7));
+}
+
 /// Guards against resets of flows whose target is only slow: it accepts connections.
 #[test]
 fn a_slow_target_that_accepts_connections_is_not_dead() {
