Reset flows on a target whose address another one has

Ruled out: resets after the removal of an entry alone; a target that is only cut off from the store lives on, and so do its flows.

Change: a target with a later start and a later entry at the same address proves that the one before it has ended. Its flows are reset at once, and it takes no new ones while its own entry is still there.

Tests first: the two tests on addresses in tests/steering.rs failed before.

--- a/crates/mulberrynotch_net/src/steer/line.rs
+++ b/crates/mulberrynotch_net/src/steer/line.rs
@@ -233,6 +233,16 @@
         catalog::Change::Zone { zone, out } => {
             event::info("zone", &[("zone", zone), ("out", out), ("as_of", &as_of)])
         }
+        catalog::Change::Ended { id } => limited(
+            &TARGETS,
+            now,
+            "target",
+            &[
+                ("target", &Target(*id)),
+                ("state", &Name(catalog::State::Ended)),
+                ("as_of", &as_of),
+            ],
+        ),
         catalog::Change::Target {
             id,
             revision,
--- a/crates/mulberrynotch_steer/src/catalog.rs
+++ b/crates/mulberrynotch_steer/src/catalog.rs
@@ -39,6 +39,10 @@
         pub entry: record::Target,
         /// Revision of the entry.
         pub revision: u64,
+        /// Revision of the last entry that the target wrote; its removal does not count.
+        pub written: u64,
+        /// True when another target has its address: it has ended, and no packet reaches it.
+        pub ended: bool,
         /// When the target is warm.
         pub warm_at: Duration,
         /// When the removal of the entry became known.
@@ -74,6 +78,11 @@
             /// True when the target has started anew under its identifier.
             restarted: bool,
         },
+        /// A target has ended, since another one has its address.
+        Ended {
+            /// Identifier.
+            id: record::Id,
+        },
     }
 
     /// State of a target.
@@ -87,12 +96,16 @@
         Draining,
         /// Its entry is gone.
         Removed,
+        /// Another target has its address.
+        Ended,
     }
 }
 
 mulberrynotch_macros::value! {
     /// Why the register keeps new flows away from a target.
     pub enum Exclusion {
+        /// Another target has its address.
+        Ended,
         /// Its entry is gone.
         Removed,
         /// It drains.
@@ -113,6 +126,8 @@
     zones: BTreeMap<Arc<str>, Zone>,
     targets: BTreeMap<record::Id, Target>,
     cookies: HashMap<u32, record::Id>,
+    /// The target that last started at each address.
+    addresses: HashMap<SocketAddrV4, record::Id>,
     services: HashMap<Arc<str>, BTreeSet<record::Id>>,
     as_of: u64,
     complete_since: u64,
@@ -135,6 +150,7 @@
             zones: BTreeMap::new(),
             targets: BTreeMap::new(),
             cookies: HashMap::new(),
+            addresses: HashMap::new(),
             services: HashMap::new(),
             as_of: 0,
             complete_since: 0,
@@ -193,7 +209,9 @@
 
     /// Why a target takes no new flows; `None` for one that does, also while it is cold.
     pub fn exclusion(&self, now: Duration, target: &Target) -> Option<Exclusion> {
-        if target.removed_at.is_some() && now >= target.kept_until {
+        if target.ended {
+            Some(Exclusion::Ended)
+        } else if target.removed_at.is_some() && now >= target.kept_until {
             Some(Exclusion::Removed)
         } else if target.entry.draining {
             Some(Exclusion::Draining)
@@ -319,6 +337,7 @@
         self.targets.retain(|_, target| !is_old(target));
         let targets = &self.targets;
         self.cookies.retain(|_, id| targets.contains_key(id));
+        self.addresses.retain(|_, id| targets.contains_key(id));
         self.services.retain(|_, ids| {
             ids.retain(|id| targets.contains_key(id));
             !ids.is_empty()
@@ -328,10 +347,16 @@
     fn merge(&mut self, now: Duration, records: Vec<record::Record>) -> Vec<Change> {
         let removals = records.iter().filter(|it| self.removes_undrained(it));
         let doubtful = self.is_doubtful(removals.count());
-        let changes = records
-            .into_iter()
-            .filter_map(|it| self.take(now, it, doubtful));
-        changes.collect()
+        let mut changes = Vec::new();
+        for record in records {
+            let written = match (&record.key, &record.body) {
+                (record::Key::Target(id), Some(_)) => Some(*id),
+                _ => None,
+            };
+            changes.extend(self.take(now, record, doubtful));
+            changes.extend(written.and_then(|id| self.compare_addresses(id)));
+        }
+        changes
     }
 
     fn removes_undrained(&self, record: &record::Record) -> bool {
@@ -443,7 +468,9 @@
         if ambiguous && let Some(other) = self.targets.get_mut(&other) {
             other.ambiguous = true;
         }
-        let before = self.targets.get(&id).map(|it| it.entry.service.clone());
+        let known = self.targets.get(&id);
+        let ended = known.is_some_and(|it| it.ended && it.entry.born_ms == entry.born_ms);
+        let before = known.map(|it| it.entry.service.clone());
         if before.as_ref() != Some(&entry.service) {
             if let Some(ids) = before.and_then(|service| self.services.get_mut(&service)) {
                 ids.remove(&id);
@@ -456,6 +483,8 @@
             warm_at: now + Duration::from_millis(entry.cold_ms.into()),
             entry,
             revision,
+            written: revision,
+            ended,
             removed_at,
             kept_until: Duration::ZERO,
             ambiguous,
@@ -463,6 +492,26 @@
         self.targets.insert(id, target);
     }
 
+    /// Compares a target with the one that last started at its address; one of them may have ended.
+    fn compare_addresses(&mut self, id: record::Id) -> Option<Change> {
+        let target = self.targets.get(&id)?;
+        let address = target.entry.address;
+        let other = self
+            .addresses
+            .get(&address)
+            .and_then(|it| self.targets.get(it))
+            .filter(|it| it.id != id && it.entry.address == address);
+        let (ended, latest) = match other {
+            Some(other) if target.follows(other) => (Some(other.id), id),
+            Some(other) if other.follows(target) => (Some(id), other.id),
+            _ => (None, id),
+        };
+        self.addresses.insert(address, latest);
+        let ended = self.targets.get_mut(&ended?).filter(|it| !it.ended)?;
+        ended.ended = true;
+        Some(Change::Ended { id: ended.id })
+    }
+
     fn remove(
         &mut self,
         now: Duration,
@@ -485,7 +534,9 @@
 impl Target {
     /// What the target is at `now`.
     pub fn state(&self, now: Duration) -> State {
-        if self.removed_at.is_some() {
+        if self.ended {
+            State::Ended
+        } else if self.removed_at.is_some() {
             State::Removed
         } else if self.entry.draining {
             State::Draining
@@ -496,6 +547,12 @@
         }
     }
 
+    /// True when the target started after another one. Its entry must be the later one too, since
+    /// the time of day of a VM may be set back.
+    fn follows(&self, other: &Self) -> bool {
+        self.entry.born_ms > other.entry.born_ms && self.written > other.written
+    }
+
     fn record(&self, now: Duration) -> record::Record {
         let cold = self.warm_at.saturating_sub(now).as_millis();
         let entry = record::Target {
--- a/crates/mulberrynotch_steer/src/machine/data.rs
+++ b/crates/mulberrynotch_steer/src/machine/data.rs
@@ -179,7 +179,11 @@
             });
             return Verdict::Drop;
         };
-        let (id, to) = (target.id, target.entry.address);
+        let (id, to, ended) = (target.id, target.entry.address, target.ended);
+        if ended && !packet.flags.reset {
+            // The target that has its address now does not answer packets for another one.
+            return self.reset(now, packet, id);
+        }
         let observation = self.flows.carry(now, packet, id);
         if observation.starts_request {
             self.load.note(now, id);
--- a/crates/mulberrynotch_steer/src/machine/explain.rs
+++ b/crates/mulberrynotch_steer/src/machine/explain.rs
@@ -110,10 +110,14 @@
 
     fn explain_cookie(&self, cookie: u32) -> Outcome {
         match self.catalog.by_cookie(cookie) {
-            Some(target) if self.evidence.verdict(target.id) == evidence::Verdict::Dead => {
-                Outcome::Reset(target.id)
+            Some(target) => {
+                let dead = self.evidence.verdict(target.id) == evidence::Verdict::Dead;
+                if target.ended || dead {
+                    Outcome::Reset(target.id)
+                } else {
+                    Outcome::Carried(target.id)
+                }
             }
-            Some(target) => Outcome::Carried(target.id),
             None if !self.catalog.is_usable() => Outcome::Held,
             None => Outcome::CookieUnknown,
         }
--- a/crates/mulberrynotch_steer/src/machine/store.rs
+++ b/crates/mulberrynotch_steer/src/machine/store.rs
@@ -112,21 +112,29 @@
         }
     }
 
-    /// Logs changes of the register, and drops evidence on targets that have started anew. All
-    /// balancers learn of the start together, so none resets flows that another one opened there.
+    /// Logs changes of the register, and does what follows from them.
     pub(super) fn note_changes(&mut self, now: Duration, changes: Vec<catalog::Change>) {
         let as_of = self.catalog.as_of();
         for change in changes {
-            let restarted = match change {
-                catalog::Change::Target { id, restarted, .. } if restarted => Some(id),
-                _ => None,
-            };
-            self.log(Event::Changed { change, as_of });
-            if let Some(id) = restarted
-                && self.evidence.forget(id).is_some()
-            {
-                self.log_verdict(now, id);
+            self.log(Event::Changed {
+                change: change.clone(),
+                as_of,
+            });
+            match change {
+                catalog::Change::Target { id, restarted, .. } if restarted => {
+                    self.forget_evidence(now, id);
+                }
+                catalog::Change::Ended { id } => self.reset_flows(now, id),
+                _ => {}
             }
         }
     }
+
+    /// Drops the evidence on a target that has started anew. All balancers learn of the start
+    /// together, so none resets flows that another one opened there.
+    fn forget_evidence(&mut self, now: Duration, target: record::Id) {
+        if self.evidence.forget(target).is_some() {
+            self.log_verdict(now, target);
+        }
+    }
 }
--- a/crates/mulberrynotch_steer/tests/steering.rs
+++ b/crates/mulberrynotch_steer/tests/steering.rs
@@ -17,7 +17,10 @@
 };
 use mulberrynotch_steer::{
     cookie,
-    machine::Verdict,
+    machine::{
+        Action,
+        Verdict, //
+    },
     ramp,
     record, //
 };
@@ -41,6 +44,72 @@
     assert_eq!(forwarded(machine.packet(at(20), &opening(2, 0))), Some(8));
 }
 
+/// A target at an address, started at `born_ms`.
+fn started(id: u64, revision: u64, last: u8, born_ms: u64) -> record::Record {
+    let entry = record::Target {
+        address: fixture::address(last, 8_000),
+        born_ms,
+        ..entry("a")
+    };
+    target(id, revision, entry)
+}
+
+/// Guards against clients that send into a flow whose target has ended and wait for their time
+/// limit: the target that has its address now answers nothing.
+#[test]
+fn the_flows_of_a_target_whose_address_another_one_has_are_reset() {
+    let mut machine = machine(vec![started(7, 7, 100, 5), started(8, 8, 101, 5)]);
+    assert_eq!(
+        forwarded(machine.packet(at(10), &data(1, 7, 1, 1, 10))),
+        Some(7)
+    );
+    machine.take_actions();
+    machine.watched(at(20), 100, 101, vec![started(9, 101, 100, 6)]);
+    let actions = machine.take_actions();
+    let reset =
+        |it: &&Action| matches!(it, Action::Reset { flow, .. } if *flow == fixture::flow(1));
+    assert_eq!(actions.iter().filter(reset).count(), 1, "{actions:?}");
+    // A flow that this balancer has not seen before.
+    assert_eq!(
+        machine.packet(at(30), &data(2, 7, 1, 1, 10)),
+        Verdict::Reset
+    );
+    assert_eq!(
+        forwarded(machine.packet(at(30), &data(3, 8, 1, 1, 10))),
+        Some(8)
+    );
+    for port in 100..140 {
+        let opened = forwarded(machine.packet(at(40), &opening(port, 0)));
+        assert_ne!(opened, Some(7), "a new flow on a target that has ended");
+    }
+}
+
+/// Guards against resets of the flows of a live target, when the time of day of its VM was set
+/// back before it started, or an entry of the target before it comes late.
+#[test]
+fn a_live_target_is_not_taken_for_the_one_before_it() {
+    let set_back = vec![started(7, 7, 100, 5), started(9, 9, 100, 4)];
+    let mut machine = machine(set_back);
+    for id in [7, 9] {
+        let verdict = machine.packet(at(10), &data(1, id, 1, 1, 10));
+        assert_eq!(forwarded(verdict), Some(id));
+    }
+    let late = started(7, 7, 100, 5);
+    let mut machine = fixture::machine(vec![started(9, 9, 100, 6)]);
+    machine.watched(
+        at(20),
+        100,
+        101,
+        vec![late, removal(record::Key::Target(record::Id(7)), 101)],
+    );
+    let verdict = machine.packet(at(30), &data(1, 9, 1, 1, 10));
+    assert_eq!(forwarded(verdict), Some(9));
+    assert_eq!(
+        machine.packet(at(30), &data(2, 7, 1, 1, 10)),
+        Verdict::Reset
+    );
+}
+
 /// Guards against guessing a target for a cookie that nobody knows.
 #[test]
 fn an_unknown_cookie_is_met_with_silence() {
