Learn removed targets from whoever remembers longer

Cause: after a zone lost its power, its balancers started together and fetched the register from each other. Any answer of a peer counted as "remembers", also that of a peer that had just started itself, so 802 packets of long flows on targets that had left meanwhile were dropped as cookie_unknown, and their clients waited until their time limit.

Ruled out: answering unknown cookies with a reset; their target may live and drain.

Change: heartbeats tell for how long a process remembers removals, and a process asks whoever remembers a second longer or more, also in another zone. Test first: a_zone_that_starts_anew_learns_removed_targets_from_others failed before.

--- a/crates/mulberrynotch_steer/src/catalog.rs
+++ b/crates/mulberrynotch_steer/src/catalog.rs
@@ -18,7 +18,7 @@
 
 /// How long a removed target is remembered at least, so that its open flows find it; flows last no
 /// longer than a minute.
-const REMEMBERED: Duration = Duration::from_secs(75);
+pub const REMEMBERED: Duration = Duration::from_secs(75);
 
 /// Targets removed at once, as a share of the present ones, from which a removal is doubtful.
 const DOUBTFUL_SHARE: usize = 3;
@@ -169,6 +169,11 @@
         self.complete_since
     }
 
+    /// Notes that every removal from a revision on has become known.
+    pub fn remember(&mut self, complete_since: u64) {
+        self.complete_since = self.complete_since.min(complete_since);
+    }
+
     /// The configuration in effect.
     pub fn configuration(&self) -> &Arc<record::Configuration> {
         &self.configuration
--- a/crates/mulberrynotch_steer/src/machine.rs
+++ b/crates/mulberrynotch_steer/src/machine.rs
@@ -166,13 +166,13 @@
     resumed_at: Option<Duration>,
     /// When a reader of the own zone other than this process was last known to reach the store.
     reader_at: Option<Duration>,
-    /// A revision that a peer has and this process lacks, and since when.
-    behind: Option<(u64, SocketAddrV4, Duration)>,
+    /// What a peer has and this process lacks.
+    behind: Option<fetch::Behind>,
     pulled_at: Option<Duration>,
     /// Changes to pass on to peers, which wait until this process has caught up.
     relayed: VecDeque<message::Push>,
-    /// True once a peer has told of targets that were removed before the process started.
-    remembers: bool,
+    /// Since when removed targets are known; a peer may tell of those before the start.
+    remembers_since: Option<Duration>,
     leaving: bool,
     heartbeat_at: Duration,
     cleaned_at: Duration,
@@ -200,7 +200,7 @@
             behind: None,
             pulled_at: None,
             relayed: VecDeque::new(),
-            remembers: false,
+            remembers_since: None,
             leaving: false,
             heartbeat_at: Duration::ZERO,
             cleaned_at: Duration::ZERO,
--- a/crates/mulberrynotch_steer/src/machine/fetch.rs
+++ b/crates/mulberrynotch_steer/src/machine/fetch.rs
@@ -13,17 +13,37 @@
     PULL_PAUSE,
     millis, //
 };
-use crate::message;
+use crate::{
+    catalog,
+    message, //
+};
 
 /// Time for which a peer of the own zone is waited for before one of another zone is asked.
 const NEAR_PATIENCE: Duration = Duration::from_millis(600);
 
+/// How much longer the memory of a peer is that is worth a fetch. Processes that started together
+/// have little to tell each other.
+const MEMORY_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// What a peer has and this process lacks.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Behind {
+    /// Revision up to which the peer knows every change.
+    as_of: u64,
+    /// Time for which the peer remembers removed targets, in milliseconds.
+    memory_ms: u32,
+    from: SocketAddrV4,
+    since: Duration,
+}
+
 impl Machine {
     pub(super) fn catch_up(&mut self, now: Duration) {
-        let Some((as_of, from, since)) = self.behind else {
+        let Some(behind) = self.behind else {
             return;
         };
-        if self.remembers && self.catalog.as_of() >= as_of {
+        let (from, since) = (behind.from, behind.since);
+        let lacks_former = self.remembers_less(now, behind.memory_ms);
+        if self.catalog.as_of() >= behind.as_of && !lacks_former {
             self.behind = None;
             return;
         }
@@ -42,7 +62,7 @@
         self.pulled_at = Some(now);
         let pull = message::Pull {
             since: self.catalog.as_of(),
-            former: !self.remembers,
+            former: self.lacks_former(now),
         };
         self.actions.push(Action::Pull { from, pull });
     }
@@ -57,22 +77,54 @@
     ) {
         let near = heartbeat.sender.zone == self.fleet.me().zone;
         let zone = self.fleet.me().zone.clone();
-        if near || self.fleet.live(now, &zone).next().is_none() || self.lags(now) {
-            self.note_source(now, from, heartbeat.as_of);
+        let lacks_former = self.remembers_less(now, heartbeat.memory_ms);
+        let far_counts = || self.fleet.live(now, &zone).next().is_none() || self.lags(now);
+        if near || lacks_former || far_counts() {
+            self.note_source(now, from, heartbeat.as_of, heartbeat.memory_ms);
         }
     }
 
+    /// Time for which removed targets are remembered, in milliseconds.
+    pub(super) fn memory_ms(&self, now: Duration) -> u32 {
+        let since = self.remembers_since;
+        since.map_or(0, |since| millis(Some(now.saturating_sub(since))))
+    }
+
+    /// True when a peer remembers targets that were removed before this process knows of removals.
+    pub(super) fn remembers_less(&self, now: Duration, told_ms: u32) -> bool {
+        let told = Duration::from_millis(told_ms.into()).min(catalog::REMEMBERED);
+        let own = Duration::from_millis(self.memory_ms(now).into());
+        self.catalog.is_usable() && told > own + MEMORY_MARGIN
+    }
+
+    fn lacks_former(&self, now: Duration) -> bool {
+        let behind = self.behind;
+        !self.catalog.is_usable() || behind.is_some_and(|it| self.remembers_less(now, it.memory_ms))
+    }
+
     /// True while the process has been behind for longer than its zone takes to help.
     pub(super) fn lags(&self, now: Duration) -> bool {
-        let since = self.behind.map(|(_, _, since)| since);
-        since.is_some_and(|since| now >= since + NEAR_PATIENCE)
+        self.behind
+            .is_some_and(|it| now >= it.since + NEAR_PATIENCE)
     }
 
-    pub(super) fn note_source(&mut self, now: Duration, from: SocketAddrV4, as_of: u64) {
+    pub(super) fn note_source(
+        &mut self,
+        now: Duration,
+        from: SocketAddrV4,
+        as_of: u64,
+        memory_ms: u32,
+    ) {
         let known = self.behind;
-        let since = known.map_or(now, |(_, _, since)| since);
-        if known.is_none_or(|(known, ..)| as_of >= known) {
-            self.behind = Some((as_of, from, since));
+        let since = known.map_or(now, |it| it.since);
+        let lacks_former = self.remembers_less(now, memory_ms);
+        if known.is_none_or(|it| as_of >= it.as_of || lacks_former) {
+            self.behind = Some(Behind {
+                as_of,
+                memory_ms,
+                from,
+                since,
+            });
         }
     }
 
@@ -92,6 +144,10 @@
                 records,
                 patch: None,
             },
+            memory: pull.former.then(|| message::Memory {
+                complete_since: self.catalog.complete_since(),
+                length_ms: self.memory_ms(now),
+            }),
             confirmed_ms: millis(self.age(now)),
         }
     }
@@ -109,12 +165,14 @@
             return;
         }
         let records = pulled.changes.records;
-        self.remembers = true;
         let changes = if pulled.complete {
             self.catalog.replace(now, as_of, records)
         } else {
             self.catalog.change(now, since, as_of, records)
         };
+        if let Some(memory) = pulled.memory {
+            self.remember(now, &memory);
+        }
         if !changes.is_empty() {
             self.log(Event::Pulled { from, as_of });
         }
@@ -127,4 +185,15 @@
         }
         self.pass_on();
     }
+
+    /// Takes over a peer's knowledge of removed targets.
+    fn remember(&mut self, now: Duration, memory: &message::Memory) {
+        let length = Duration::from_millis(memory.length_ms.into());
+        let since = now.checked_sub(length);
+        self.remembers_since = match (self.remembers_since, since) {
+            (Some(own), Some(told)) => Some(own.min(told)),
+            (own, told) => own.or(told),
+        };
+        self.catalog.remember(memory.complete_since);
+    }
 }
--- a/crates/mulberrynotch_steer/src/machine/heartbeat.rs
+++ b/crates/mulberrynotch_steer/src/machine/heartbeat.rs
@@ -32,7 +32,7 @@
             joining: self.fleet.is_alone(now),
             leaving: self.leaving,
             as_of: self.catalog.as_of(),
-            complete_since: self.catalog.complete_since(),
+            memory_ms: self.memory_ms(now),
             confirmed_ms: millis(self.age(now)),
             reader_ms: self.reader_ms(now),
             members: self.fleet.gossip(now),
@@ -87,10 +87,7 @@
         if heartbeat.as_of == 0 {
             return;
         }
-        let known = self.catalog.as_of();
-        let remembers_more = heartbeat.complete_since < self.catalog.complete_since();
-        let lacks_former = known > 0 && !self.remembers && remembers_more;
-        if heartbeat.as_of > known || lacks_former {
+        if heartbeat.as_of > self.catalog.as_of() || self.remembers_less(now, heartbeat.memory_ms) {
             self.note_behind(now, from, heartbeat);
         }
         if heartbeat.as_of <= self.catalog.as_of() {
--- a/crates/mulberrynotch_steer/src/machine/push.rs
+++ b/crates/mulberrynotch_steer/src/machine/push.rs
@@ -103,7 +103,7 @@
         let taken = self.catalog.change(now, since, as_of, records);
         self.note_changes(now, taken);
         if self.catalog.as_of() < as_of {
-            self.note_source(now, from, as_of);
+            self.note_source(now, from, as_of, 0);
             self.pull(now, from);
         }
     }
--- a/crates/mulberrynotch_steer/src/message.rs
+++ b/crates/mulberrynotch_steer/src/message.rs
@@ -35,8 +35,8 @@
         pub leaving: bool,
         /// Revision up to which the sender knows every change.
         pub as_of: u64,
-        /// Revision from which the sender knows every removal.
-        pub complete_since: u64,
+        /// Time for which the sender remembers removed targets, in milliseconds.
+        pub memory_ms: u32,
         /// Time since the sender's knowledge was known to be current, in milliseconds.
         pub confirmed_ms: u32,
         /// Time since a reader of the sender's zone was known to reach the store, in milliseconds.
@@ -109,12 +109,22 @@
         pub former: bool,
     }
 
+    /// How far a balancer's knowledge of removed targets reaches back.
+    pub struct Memory {
+        /// Revision from which every removal is known.
+        pub complete_since: u64,
+        /// Time since then, in milliseconds.
+        pub length_ms: u32,
+    }
+
     /// Answer to a [`Pull`].
     pub struct Pulled {
         /// True when the records are all that exist, not only changes.
         pub complete: bool,
         /// The records.
         pub changes: Changes,
+        /// What the sender remembers, when it was asked for targets that were removed before.
+        pub memory: Option<Memory>,
         /// Time since the sender's knowledge was known to be current, in milliseconds.
         pub confirmed_ms: u32,
     }
--- a/crates/mulberrynotch_steer/tests/control.rs
+++ b/crates/mulberrynotch_steer/tests/control.rs
@@ -92,6 +92,41 @@
     assert!(known.expect("remembered").removed_at.is_some());
 }
 
+/// Guards against processes of a zone that start together, fetch from each other first, and never
+/// learn of targets that were removed before: packets of their flows are dropped.
+#[test]
+fn a_zone_that_starts_anew_learns_removed_targets_from_others() {
+    let mut fleet = Fleet::new(3);
+    fleet.run(4_000);
+    fleet
+        .records
+        .retain(|it| it.key != record::Key::Target(record::Id(7)));
+    fleet.revision = 60;
+    let gone = removal(record::Key::Target(record::Id(7)), 60);
+    for machine in fleet.machines.values_mut() {
+        machine.watched(fleet.now, 2, 60, vec![gone.clone()]);
+    }
+    // They know each other first, and then one of them finds the others.
+    for last in 11..=16 {
+        let me = member(last, "b");
+        let seeds = vec![fixture::address(11, 7_000), fixture::address(12, 7_000)];
+        let joining = machine::Machine::new(me.clone(), seeds, last.into());
+        fleet.machines.insert(me.address, joining);
+    }
+    fleet.run(600);
+    let first = fixture::address(11, 7_000);
+    let known = vec![fixture::address(1, 7_000)];
+    fleet.machines.get_mut(&first).unwrap().set_seeds(known);
+    fleet.run(4_000);
+    for (address, machine) in &fleet.machines {
+        let removed = machine.catalog().target(record::Id(7)).cloned();
+        assert!(
+            removed.is_some_and(|it| it.removed_at.is_some()),
+            "{address}"
+        );
+    }
+}
+
 /// Guards against a process that starts while the store is down and waits for the next heartbeat
 /// of a peer before it serves.
 #[test]
