--- a/crates/mulberrynotch_net/src/steer/peer.rs
+++ b/crates/mulberrynotch_net/src/steer/peer.rs
@@ -69,6 +69,9 @@
         TooLong {
             display("the message is too long; run one version everywhere")
         }
+        OtherFormat {
+            display("the message has another format; run one version everywhere")
+        }
     }
 }
 
@@ -174,7 +177,7 @@
 fn decode(datagram: &[u8]) -> Result<message::Message, PullError> {
     match datagram.split_first() {
         Some((&FORMAT, encoded)) => Ok(postcard::from_bytes(encoded)?),
-        _ => Err(PullError::Format(postcard::Error::DeserializeBadEncoding)),
+        _ => Err(PullError::OtherFormat),
     }
 }
 
--- a/tests/steer_process.rs
+++ b/tests/steer_process.rs
@@ -205,6 +205,7 @@
 
     let asked = ["--caller", "100.64.0.7:4001", "--address", "198.18.0.1:443"];
     let (text, error) = site.ask("route", &asked);
+    println!("{text}");
     assert!(
         text.starts_with("opens on the least loaded target; target 1 at"),
         "{text}{error}"
