Tell peers less often of a dark target

Cause: a balancer told up to 32 peers of every further flow that failed on a target and of every failed probe: 4.0 KB/s for one dark target in the test, over the 2 KB/s of control traffic, and 55 to 75 % of all messages of a fleet in the emulator, which now counts them by kind.

Ruled out: fewer peers; each needs flows that failed elsewhere to decide.

Change: flows beyond the third and probes within 1.5 s of the last word add nothing at a peer, which needs two flows and its own probes.

--- a/crates/mulberrynotch_standin/src/emulator/report.rs
+++ b/crates/mulberrynotch_standin/src/emulator/report.rs
@@ -46,8 +46,17 @@
     pub calls: u64,
     /// Messages between balancers.
     pub messages: u64,
-    /// Bytes of these messages.
-    pub message_bytes: u64,
+    /// Messages and their bytes, by kind.
+    pub control: BTreeMap<&'static str, Volume>,
+}
+
+/// Messages of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Volume {
+    /// How many.
+    pub messages: u64,
+    /// Their bytes.
+    pub bytes: u64,
 }
 
 /// Requests that began in one span.
--- a/crates/mulberrynotch_standin/src/emulator/world/balancer.rs
+++ b/crates/mulberrynotch_standin/src/emulator/world/balancer.rs
@@ -120,7 +120,9 @@
         self.report.messages += 1;
         // A message that cannot be encoded would be a fault of its type; it counts no bytes.
         let bytes = postcard::to_stdvec(&message).map_or(0, |it| it.len());
-        self.report.message_bytes += u64::try_from(bytes).unwrap_or(0);
+        let volume = self.report.control.entry(kind(&message)).or_default();
+        volume.messages += 1;
+        volume.bytes += u64::try_from(bytes).unwrap_or(0);
         let (from, zone) = (self.balancers[index].address, self.balancers[index].zone);
         let Some(peer) = self.peer(to) else {
             return;
@@ -268,3 +270,13 @@
         self.reply(flow, Reply::Reset);
     }
 }
+
+fn kind(message: &message::Message) -> &'static str {
+    match message {
+        message::Message::Heartbeat(_) => "heartbeat",
+        message::Message::Members(_) => "members",
+        message::Message::Push(_) => "push",
+        message::Message::Doubt(_) => "doubt",
+        message::Message::Alive(_) => "alive",
+    }
+}
--- a/crates/mulberrynotch_steer/src/evidence.rs
+++ b/crates/mulberrynotch_steer/src/evidence.rs
@@ -30,6 +30,13 @@
 /// Failed flows that are told apart at most.
 const MAX_FLOWS: usize = 8;
 
+/// Failed flows of a target that peers are told of one by one; further ones add nothing.
+const TOLD_FLOWS: usize = DEAD_FLOWS + 1;
+
+/// Pause before peers are told again that probes of a target fail; they hold a probe for recent for
+/// [`PROBE_AGE`].
+const TELL_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// Time within which a peer may see progress of a target before the failure here comes later.
 const PEER_DELAY: Duration = Duration::from_millis(20);
 
@@ -105,6 +112,8 @@
     /// Probes of this balancer that failed in a row; a refused one counts as enough.
     failed_probes: u32,
     probed_at: Option<Duration>,
+    /// When peers were last told that probes fail.
+    told_at: Option<Duration>,
     dead: bool,
 }
 
@@ -211,7 +220,7 @@
         }
         let known = case.flows.len();
         case.note_failure(now, sent_at, flow);
-        let more = case.flows.len() > known;
+        let more = case.flows.len() > known && case.flows.len() <= TOLD_FLOWS;
         let first = !case.own;
         if first {
             case.own = true;
@@ -280,10 +289,23 @@
         let probe = outcome != Probe::Accepted && case.doubtful && case.wants_probe();
         case.probing |= probe;
         self.judge(now, target);
-        let tell = outcome != Probe::Accepted && self.verdict(target) != Verdict::Good;
+        let tell = outcome != Probe::Accepted && self.is_news(now, target);
         self.response(target, before, probe, tell)
     }
 
+    /// True when peers are to be told that a probe of the target failed: the verdict is not good,
+    /// and they were not told a moment ago.
+    fn is_news(&mut self, now: Duration, target: record::Id) -> bool {
+        let doubted = self.verdict(target) != Verdict::Good;
+        let case = self.cases.entry(target).or_default();
+        let paused = case.told_at.is_some_and(|at| now < at + TELL_PAUSE);
+        let news = doubted && !paused;
+        if news {
+            case.told_at = Some(now);
+        }
+        news
+    }
+
     fn response(&self, target: record::Id, before: Verdict, probe: bool, tell: bool) -> Response {
         let after = self.verdict(target);
         Response {
--- a/crates/mulberrynotch_steer/tests/evidence.rs
+++ b/crates/mulberrynotch_steer/tests/evidence.rs
@@ -147,6 +147,52 @@
     assert_eq!(fixture::forwarded(verdict), Some(7));
 }
 
+/// Guards against doubts that fill the control traffic of a balancer while one target is dark.
+#[test]
+fn doubts_about_a_dark_target_fit_into_the_control_traffic() {
+    const SECONDS: usize = 3;
+    const CONTROL_BYTES: usize = 2_048;
+    let mut machine = with_flows();
+    for last in 2..42 {
+        let members = vec![fixture::member(last, "b")];
+        machine.receive(
+            at(0),
+            fixture::address(2, 7_000),
+            message::Message::Members(members),
+        );
+    }
+    let mut bytes = 0;
+    for now in (1_000..4_000).step_by(30) {
+        progress(&mut machine, at(now), 8);
+        progress(&mut machine, at(now), 9);
+        // A request on another flow of the dark target every 150 ms.
+        if now % 150 == 100 {
+            let port = u16::try_from(now).unwrap();
+            machine.packet(at(now), &data(port, 7, 90_000, 9, 10));
+        }
+        machine.tick(at(now));
+        let mut actions = machine.take_actions();
+        while let Some(action) = actions.pop() {
+            match action {
+                steer::Action::Send { message, .. } => {
+                    let doubt = matches!(message, message::Message::Doubt(_));
+                    bytes += postcard::to_stdvec(&message).unwrap().len() * usize::from(doubt);
+                }
+                steer::Action::Probe { target: DARK, .. } => {
+                    machine.probed(at(now + 20), DARK, Probe::Silent);
+                    actions.extend(machine.take_actions());
+                }
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(machine.evidence().verdict(DARK), Verdict::Dead);
+    assert!(
+        bytes / SECONDS < CONTROL_BYTES,
+        "{bytes} bytes in {SECONDS} s"
+    );
+}
+
 /// Guards against resets of flows whose target is only slow: it accepts connections.
 #[test]
 fn a_slow_target_that_accepts_connections_is_not_dead() {
--- a/examples/experiment/main.rs
+++ b/examples/experiment/main.rs
@@ -82,11 +82,21 @@
 fn print_control(plan: &plan::Plan, report: &report::Report) {
     let balancers = u64::try_from(plan.zones * plan.balancers).unwrap_or(u64::MAX);
     let seconds = (plan.seconds + LEAD_SECONDS).max(1);
-    let bytes = report.message_bytes / balancers.max(1) / seconds;
+    let rate = |bytes: u64| bytes / balancers.max(1) / seconds;
+    let total = report.control.values().map(|it| it.bytes).sum();
     println!(
-        "control: {bytes} B/s sent by a balancer on the mean, {} calls to the store in {seconds} s by {balancers}",
+        "control: {} B/s sent by a balancer on the mean, {} calls to the store in {seconds} s by {balancers}",
+        rate(total),
         report.calls,
     );
+    for (kind, volume) in &report.control {
+        let mean = volume.bytes / volume.messages.max(1);
+        println!(
+            "  {kind}: {} B/s, {} messages of {mean} B",
+            rate(volume.bytes),
+            volume.messages
+        );
+    }
 }
 
 /// Time in which the balancers run before the load, in seconds.
