Call a process ready once it may serve its own zone

Cause: /healthz answered 200 as soon as a register was in effect, 0.15 s before a joining process knew its peers. Operators and fabrics sent it callers, whose packets it dropped as unconfirmed, and stopped the process that it replaces while nobody knew the new one (seen in the logs of examples/site).

Ruled out: readiness that follows each confirmation; it would flip at every pause, while the process goes on with what it has.

Test first: a_process_is_ready_once_it_may_take_work failed 3 of 3 times before and passes 3 of 3 times. A fleet test of a replacement by a process that knows no peers yet is kept; it passed at once. Also: the path of explanations in the answer to unknown paths, and a link in a comment that cargo doc refused.

--- a/crates/mulberrynotch_net/src/admin.rs
+++ b/crates/mulberrynotch_net/src/admin.rs
@@ -186,7 +186,7 @@
             (Some(packet), Some(explain)) => route(explain(packet)),
             _ => text(
                 StatusCode::NOT_FOUND,
-                "use /dump, /metrics or the health path\n", //
+                "use /dump, /metrics, the health path, or /route/CLIENT/ADDRESS of steer\n", //
             ),
         },
     }
--- a/crates/mulberrynotch_net/src/event.rs
+++ b/crates/mulberrynotch_net/src/event.rs
@@ -46,7 +46,7 @@
     line
 }
 
-/// Name of the event in a line that [`line`] formatted.
+/// Name of the event in a line that [`line()`] formatted.
 pub fn name_of(line: &str) -> Option<&str> {
     line.strip_prefix("event=")?.split(' ').next()
 }
--- a/crates/mulberrynotch_net/src/node.rs
+++ b/crates/mulberrynotch_net/src/node.rs
@@ -96,6 +96,8 @@
     tcp: Arc<tcp::Adapter>,
     platform: Arc<platform::Client>,
     prober: probe::Prober,
+    /// True once the process was allowed to serve its own zone.
+    joined: AtomicBool,
     draining: AtomicBool,
 }
 
@@ -199,14 +201,20 @@
             core,
             udp,
             tcp,
+            joined: AtomicBool::new(false),
             draining: AtomicBool::new(false),
         });
         Ok((node, tasks))
     }
 
-    /// True while the process has a register and takes new work.
+    /// True while the process takes new work: it has a register and has joined its peers. One that
+    /// loses them later goes on with what it has.
     fn is_ready(&self) -> bool {
-        self.core.view().register.revision > 0 && !self.draining.load(Ordering::Relaxed)
+        let view = self.core.view();
+        if view.register.revision > 0 && view.own_zone_ready {
+            self.joined.store(true, Ordering::Relaxed);
+        }
+        self.joined.load(Ordering::Relaxed) && !self.draining.load(Ordering::Relaxed)
     }
 
     async fn ticks(self: Arc<Self>, timers: service::Service) {
--- a/crates/mulberrynotch_net/tests/node.rs
+++ b/crates/mulberrynotch_net/tests/node.rs
@@ -71,6 +71,19 @@
         assert!(outcome.complete, "{outcome:?}");
     }
 
+    /// Waits until the process calls itself ready.
+    async fn ready(&self) {
+        let wait = async {
+            while !http::get(self.admin, "/healthz", 1 << 10, WAIT)
+                .await
+                .is_ok_and(|it| it.status.is_success())
+            {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        tokio::time::timeout(WAIT, wait).await.unwrap();
+    }
+
     async fn dump(&self) -> serde_json::Value {
         let answer = http::get(self.admin, "/dump", 1 << 20, WAIT).await;
         answer.map_or(serde_json::Value::Null, |answer| {
@@ -295,3 +308,21 @@
     }
     second.end().await;
 }
+
+/// Guards against a process that calls itself ready before it knows its peers: callers are sent to
+/// it, and it drops their packets.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_process_is_ready_once_it_may_take_work() {
+    let fabric = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let back = fabric.local_addr().unwrap();
+    let peers = [free(), free()];
+    let platform = platform(&[target().await], &peers).await;
+    let first = Process::start("b0", peers[0], platform, back);
+    first.ready().await;
+    let second = Process::start("b1", peers[1], platform, back);
+    second.ready().await;
+    let dump = second.dump().await;
+    assert_eq!(dump["control"]["confirmed"], true, "{dump:#}");
+    first.end().await;
+    second.end().await;
+}
--- a/crates/mulberrynotch_policy/tests/flow_fixture/mod.rs
+++ b/crates/mulberrynotch_policy/tests/flow_fixture/mod.rs
@@ -140,6 +140,17 @@
     /// Starts a process that knows all members and the register.
     pub fn start(&mut self, member: &control::Member) {
         let view = Arc::new(self.view(member, true));
+        self.start_with(member, view);
+    }
+
+    /// Starts a process that has the register and knows no other member yet.
+    pub fn start_alone(&mut self, member: &control::Member) {
+        let register = Arc::new(self.register.clone());
+        let view = view::View::new(member, register, vec![member.clone()], false);
+        self.start_with(member, Arc::new(view));
+    }
+
+    fn start_with(&mut self, member: &control::Member, view: Arc<view::View>) {
         let config = flow::Config {
             max_flows: 200_000,
             max_hints: 50_000,
--- a/crates/mulberrynotch_policy/tests/flow_start.rs
+++ b/crates/mulberrynotch_policy/tests/flow_start.rs
@@ -71,3 +71,37 @@
         assert!(drained, "not handed over in time, seed {seed}");
     }
 }
+
+/// Guards against flows that move when a balancer is replaced by one that has just started: it learns
+/// of its peers after the leave, and takes another one for the former owner.
+#[test]
+fn replacement_by_a_process_that_knows_no_peers_yet_breaks_no_flow() {
+    for seed in 7_300..7_304 {
+        let faults = Faults {
+            view_delay_ms: 100,
+            ..Faults::default()
+        };
+        let mut fleet = Fleet::new(6, inventory::register(&[14, 4], 2_000), faults, seed);
+        let flows: Vec<wire::Flow> = (0..280).map(|n| inventory::wire_flow(0, n)).collect();
+        for step in 0..400 {
+            match step {
+                40 => fleet.start_alone(&inventory::member(6)),
+                42 => {
+                    fleet.members[1].state = control::State::Leaving;
+                    fleet.publish();
+                }
+                44 => {
+                    fleet.members.push(inventory::member(6));
+                    fleet.publish();
+                }
+                _ => {}
+            }
+            for flow in flows.iter().skip(step % 2).step_by(2) {
+                fleet.packet(*flow);
+            }
+            fleet.tick();
+        }
+        println!("seed {seed} broken {}", fleet.broken);
+        assert_eq!(fleet.broken, 0, "seed {seed}");
+    }
+}
