--- a/crates/mulberrynotch_policy/tests/flow_start.rs
+++ b/crates/mulberrynotch_policy/tests/flow_start.rs
@@ -73,7 +73,8 @@
 }
 
 /// Guards against flows that move when a balancer is replaced by one that has just started: it learns
-/// of its peers after the leave, and takes another one for the former owner.
+/// of its peers after the leave, as they learn of the leave and of it, and takes another one for the
+/// former owner.
 #[test]
 fn replacement_by_a_process_that_knows_no_peers_yet_breaks_no_flow() {
     for seed in 7_300..7_304 {
@@ -88,7 +89,8 @@
                 40 => fleet.start_alone(&inventory::member(6)),
                 42 => {
                     fleet.members[1].state = control::State::Leaving;
-                    fleet.publish();
+                    let leaving = fleet.members[1].name.clone();
+                    fleet.publish_to(&leaving, true);
                 }
                 44 => {
                     fleet.members.push(inventory::member(6));
