Tell the peers of the own zone of a doubt first

Only peers of the zone have the same way to the target and answer that it makes progress; the others of the zone, which saw it answer, were not asked.

Ruled out: the limit on repeated doubts; the first doubt and the second failed flow were told, and two failures were all it took.

Test first: a_doubt_reaches_every_peer_of_the_zone_first failed before.

--- a/crates/mulberrynotch_steer/src/machine/doubt.rs
+++ b/crates/mulberrynotch_steer/src/machine/doubt.rs
@@ -1,6 +1,7 @@
 //! Evidence on targets, exchanged with peers and gathered by probes.
 
 use std::{
+    collections::BTreeSet,
     net::SocketAddrV4,
     time::Duration, //
 };
@@ -26,13 +27,24 @@
             flows: self.evidence.failures(target).to_vec(),
             probe_failed: self.evidence.probe_failed(now, target),
         };
-        let peers: Vec<_> = self.fleet.live_anywhere(now).take(DOUBT_PEERS).collect();
-        for to in peers {
+        for to in self.doubt_peers(now) {
             let message = message::Message::Doubt(doubt.clone());
             self.actions.push(Action::Send { to, message });
         }
     }
 
+    /// Who is told of a doubt: peers of the own zone first, since only they have the same way to the
+    /// target and can answer that it makes progress.
+    fn doubt_peers(&self, now: Duration) -> Vec<SocketAddrV4> {
+        let zone = &self.fleet.me().zone;
+        let near: BTreeSet<_> = self.fleet.live(now, zone).collect();
+        let far = self
+            .fleet
+            .live_anywhere(now)
+            .filter(|it| !near.contains(it));
+        near.iter().copied().chain(far).take(DOUBT_PEERS).collect()
+    }
+
     /// Tells the zone that a target makes progress that was in doubt.
     pub(super) fn tell_alive(&mut self, now: Duration, target: record::Id) {
         let zone = self.fleet.me().zone.clone();
--- a/crates/mulberrynotch_steer/tests/evidence.rs
+++ b/crates/mulberrynotch_steer/tests/evidence.rs
@@ -147,6 +147,35 @@
     assert_eq!(fixture::forwarded(verdict), Some(7));
 }
 
+/// Guards against a balancer whose own links are bad and that condemns a live target, while the peers
+/// of its zone that see the target answer are not asked.
+#[test]
+fn a_doubt_reaches_every_peer_of_the_zone_first() {
+    let mut machine = with_flows();
+    for last in 2..90 {
+        let zone = if last < 65 { "b" } else { "a" };
+        let members = vec![fixture::member(last, zone)];
+        let message = message::Message::Members(members);
+        machine.receive(at(900), fixture::address(2, 7_000), message);
+    }
+    machine.take_actions();
+    requests(&mut machine, 1_000);
+    machine.tick(at(1_300));
+    let actions = machine.take_actions().into_iter();
+    let told = actions.filter_map(|action| match action {
+        steer::Action::Send {
+            to,
+            message: message::Message::Doubt(_),
+        } => Some(to),
+        _ => None,
+    });
+    let told: std::collections::BTreeSet<_> = told.collect();
+    for last in 65..90 {
+        let near = fixture::address(last, 7_000);
+        assert!(told.contains(&near), "{near} is not told");
+    }
+}
+
 /// Guards against doubts that fill the control traffic of a balancer while one target is dark.
 #[test]
 fn doubts_about_a_dark_target_fit_into_the_control_traffic() {
