Keep the platform's names out of the tests of a running balancer

Cause: tests/steer_process.rs wrote entries of the store by itself, with the names of the platform's pages. The stand-in of the store writes them now; what the tests check is unchanged.

--- a/tests/steer_process.rs
+++ b/tests/steer_process.rs
@@ -82,13 +82,7 @@
         let address = SocketAddrV4::new(Ipv4Addr::new(127, block, 1, 1), 0);
         let started = runtime.block_on(store::Store::start(address.into(), 100));
         let store = started.unwrap();
-        let configuration = json!({
-            "version": 7,
-            "routes": [{ "name": "r", "host": route().ip(), "prefix": "/443/", "service": "feed" }],
-            "services": [{ "name": "feed", "warmup_s": 0.5, "warmup_per_s": 4.0 }],
-            "limits": { "idle_timeout_ms": 15_000 },
-        });
-        store.put("op/config", Some(&configuration));
+        store.put_configuration(7, route());
         let settings = Self::settings(block, &store, seeds);
         let balancer = Command::new(PROGRAM)
             .args(["steer", "--settings", settings.to_str().unwrap()])
@@ -101,8 +95,8 @@
             balancer,
             _runtime: runtime,
         };
-        site.put_target(1, "ready");
-        site.put_target(2, "draining");
+        site.put_target(1, false);
+        site.put_target(2, true);
         site.wait_for("two targets and a confirmed register", |dump| {
             let targets = dump["targets"].as_array().map_or(0, Vec::len);
             targets == 2 && dump["register"]["age_ms"].is_u64()
@@ -127,14 +121,10 @@
         path
     }
 
-    fn put_target(&self, id: u16, state: &str) {
+    fn put_target(&self, id: u16, draining: bool) {
         let [high, low] = id.to_be_bytes();
         let address = SocketAddrV4::new(Ipv4Addr::new(127, self.block, 5 + high, low), 8_000);
-        let entry = json!({
-            "service": "feed", "address": address, "zone": "a", "version": "v1", "capacity": 2,
-            "state": state, "warmup_left_ms": 0, "sequence": 1, "born": 1,
-        });
-        self.store.put(&format!("servers/i-{id:x}"), Some(&entry));
+        self.store.put_target(id, address, draining);
     }
 
     fn admin(&self) -> SocketAddrV4 {
@@ -240,7 +230,7 @@
     let began = Instant::now();
     let targets = 1_500;
     for id in 10..10 + targets {
-        site.put_target(id, "ready");
+        site.put_target(id, false);
     }
     site.wait_for("all targets", |dump| {
         dump["targets"]
@@ -276,15 +266,15 @@
     let socket = UdpSocket::bind((Ipv4Addr::new(127, 33, 4, 1), 0)).unwrap();
     let end = Instant::now() + Duration::from_secs(30);
     let lost = "mulberrynotch_lost_lines_total{event=\"target\"}";
-    let mut state = ["draining", "ready"].iter().cycle();
+    let mut draining = false;
     while site.metric(lost) < 1.0 {
         assert!(
             Instant::now() < end,
             "no line was lost, so the reader did not stall"
         );
-        let state = state.next().unwrap();
+        draining = !draining;
         for id in 10..400 {
-            site.put_target(id, state);
+            site.put_target(id, draining);
         }
         thread::sleep(Duration::from_millis(200));
     }
