Let one piece serve the twins in the driver and the decisions of steer

Cause: on a second read, logic stood twice. The driver and the emulator mapped the store's answers to the machine each; the explanation of an opening packet repeated the checks of the decision; a message for several peers was cloned and encoded for each; whole milliseconds had one more function.

Change: Machine::answered takes any answer of the store; service_for holds the checks before the choice, for the decision and the explanation; Action::Send names all peers of a message, which is encoded once; core::millis is called. Tests count a message for each peer as before.

--- a/crates/mulberrynotch_net/src/steer/data.rs
+++ b/crates/mulberrynotch_net/src/steer/data.rs
@@ -21,7 +21,10 @@
 };
 
 use super::Node;
-use crate::event;
+use crate::{
+    core,
+    event, //
+};
 
 /// Bytes in front of a packet to a target that name the target.
 const PREFIX: usize = 8;
@@ -63,8 +66,8 @@
 
     fn forward_batch(self: &Arc<Self>, buffer: &mut [u8], first: usize) {
         let now = self.now();
-        let millis = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
-        self.last_packet_ms.store(millis, Ordering::Relaxed);
+        self.last_packet_ms
+            .store(core::millis(now), Ordering::Relaxed);
         let actions = {
             let mut machine = self.lock();
             self.forward_one(&mut machine, now, &mut buffer[..PREFIX + first]);
--- a/crates/mulberrynotch_net/src/steer/dump.rs
+++ b/crates/mulberrynotch_net/src/steer/dump.rs
@@ -1,7 +1,5 @@
 //! State of the process for operators.
 
-use std::time::Duration;
-
 use mulberrynotch_steer::{
     catalog,
     cookie,
@@ -11,6 +9,7 @@
 use serde_json::json;
 
 use super::Node;
+use crate::core::millis;
 
 impl Node {
     pub(super) fn dump(&self) -> serde_json::Value {
@@ -85,10 +84,6 @@
     out
 }
 
-pub(super) fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Mean time from a request to the beginning of its answer.
 pub(super) fn latency_ms(machine: &machine::Machine, target: record::Id) -> f64 {
     machine.load().latency_s(target) * 1e3
--- a/crates/mulberrynotch_net/src/steer/mod.rs
+++ b/crates/mulberrynotch_net/src/steer/mod.rs
@@ -259,7 +259,7 @@
     fn carry_out(self: &Arc<Self>, now: Duration, actions: Vec<machine::Action>) {
         for action in actions {
             match action {
-                machine::Action::Send { to, message } => self.send(to, &message),
+                machine::Action::Send { to, message } => self.send(&to, &message),
                 machine::Action::Call(call) => drop(tokio::spawn(self.clone().call(call))),
                 machine::Action::Pull { from, pull } => {
                     drop(tokio::spawn(self.clone().pull(from, pull)));
--- a/crates/mulberrynotch_net/src/steer/peer.rs
+++ b/crates/mulberrynotch_net/src/steer/peer.rs
@@ -76,15 +76,19 @@
 }
 
 impl Node {
-    pub(super) fn send(&self, to: SocketAddrV4, message: &message::Message) {
-        let mut datagram = vec![FORMAT];
-        match postcard::to_stdvec(message) {
-            Ok(encoded) => datagram.extend(encoded),
-            Err(error) => return self.log_unsent_message(to, &error),
+    pub(super) fn send(&self, to: &[SocketAddrV4], message: &message::Message) {
+        match postcard::to_extend(message, vec![FORMAT]) {
+            Ok(datagram) => to.iter().for_each(|it| self.send_datagram(*it, &datagram)),
+            Err(error) => to
+                .iter()
+                .for_each(|it| self.log_unsent_message(*it, &error)),
         }
+    }
+
+    fn send_datagram(&self, to: SocketAddrV4, datagram: &[u8]) {
         metrics::counter!("mulberrynotch_peer_sent_bytes_total")
             .increment(u64::try_from(datagram.len()).unwrap_or(u64::MAX));
-        if let Err(error) = self.peers.try_send_to(&datagram, SocketAddr::V4(to)) {
+        if let Err(error) = self.peers.try_send_to(datagram, SocketAddr::V4(to)) {
             self.log_unsent_message(to, &error);
         }
     }
--- a/crates/mulberrynotch_net/src/steer/route.rs
+++ b/crates/mulberrynotch_net/src/steer/route.rs
@@ -18,6 +18,7 @@
     Node,
     dump, //
 };
+use crate::core;
 
 /// The packet that is asked about: `CLIENT/ADDRESS`, or `CLIENT/ADDRESS/COOKIE`.
 struct Query {
@@ -74,7 +75,7 @@
             "service": explanation.service,
             "version": explanation.version,
             "as_of": explanation.as_of,
-            "register_age_ms": explanation.age.map(dump::millis),
+            "register_age_ms": explanation.age.map(core::millis),
             "balancer": self.settings.name,
             "candidates": candidates,
         }))
--- a/crates/mulberrynotch_net/src/steer/store.rs
+++ b/crates/mulberrynotch_net/src/steer/store.rs
@@ -23,20 +23,10 @@
             let latency = self.now().saturating_sub(started);
             metrics::histogram!("mulberrynotch_store_list_seconds").record(latency);
         }
-        self.drive(|machine, now| match (call, answer) {
-            (_, Ok(reader::Answer::Listed { as_of, records })) => {
-                machine.listed(now, as_of, records);
-            }
-            (reader::Call::Watch { after }, Ok(reader::Answer::Changed { as_of, records })) => {
-                machine.watched(now, after, as_of, records);
-            }
-            (_, Ok(reader::Answer::TooMany)) => machine.list_too_long(now),
-            (_, Ok(_)) => machine.history_lost(now),
-            (_, Err(error)) => {
-                metrics::counter!("mulberrynotch_store_failures_total").increment(1);
-                FAILED.warn(now, "store_call_failed", &[("error", &error)]);
-                machine.call_failed(now);
-            }
-        });
+        if let Err(error) = &answer {
+            metrics::counter!("mulberrynotch_store_failures_total").increment(1);
+            FAILED.warn(self.now(), "store_call_failed", &[("error", error)]);
+        }
+        self.drive(|machine, now| machine.answered(now, call, answer.ok()));
     }
 }
--- a/crates/mulberrynotch_standin/src/emulator/world/balancer.rs
+++ b/crates/mulberrynotch_standin/src/emulator/world/balancer.rs
@@ -102,7 +102,11 @@
         let start = self.balancers[index].start;
         for action in actions {
             match action {
-                machine::Action::Send { to, message } => self.send(index, to, message),
+                machine::Action::Send { to, message } => {
+                    for to in to {
+                        self.send(index, to, message.clone());
+                    }
+                }
                 machine::Action::Call(call) => self.call(index, call),
                 machine::Action::Pull { from, pull } => self.pull(index, from, &pull),
                 machine::Action::Probe { target, .. } => self.probe(index, start, target),
@@ -162,17 +166,7 @@
         if self.balancers[index].start != start {
             return;
         }
-        self.drive(index, |machine, now| match (call, answer) {
-            (_, Some(reader::Answer::Listed { as_of, records })) => {
-                machine.listed(now, as_of, records);
-            }
-            (reader::Call::Watch { after }, Some(reader::Answer::Changed { as_of, records })) => {
-                machine.watched(now, after, as_of, records);
-            }
-            (_, Some(reader::Answer::TooMany)) => machine.list_too_long(now),
-            (_, Some(_)) => machine.history_lost(now),
-            (_, None) => machine.call_failed(now),
-        });
+        self.drive(index, |machine, now| machine.answered(now, call, answer));
     }
 
     fn pull(&mut self, index: usize, from: SocketAddrV4, pull: &message::Pull) {
--- a/crates/mulberrynotch_steer/src/machine.rs
+++ b/crates/mulberrynotch_steer/src/machine.rs
@@ -89,10 +89,10 @@
 
     /// What the driver has to do.
     pub enum Action {
-        /// Send a message to a peer.
+        /// Send a message to peers.
         Send {
-            /// Peer address.
-            to: SocketAddrV4,
+            /// Peer addresses.
+            to: Vec<SocketAddrV4>,
             /// The message.
             message: message::Message,
         },
@@ -267,6 +267,10 @@
         self.age(now).is_some_and(|age| age < CURRENT)
     }
 
+    fn send(&mut self, to: Vec<SocketAddrV4>, message: message::Message) {
+        self.actions.push(Action::Send { to, message });
+    }
+
     fn log(&mut self, event: Event) {
         self.actions.push(Action::Log(event));
     }
--- a/crates/mulberrynotch_steer/src/machine/data.rs
+++ b/crates/mulberrynotch_steer/src/machine/data.rs
@@ -1,6 +1,9 @@
 //! Packets of clients.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use mulberrynotch_policy::rendezvous;
 
@@ -21,6 +24,15 @@
     record, //
 };
 
+/// Why an opening packet gets no target now.
+#[derive(Clone, Copy)]
+pub(super) enum Obstacle {
+    /// The register is about to be known.
+    Held,
+    /// It is refused.
+    Refused(Reason),
+}
+
 /// The target for an opening packet.
 #[derive(Clone, Copy)]
 struct Chosen {
@@ -31,18 +43,10 @@
 
 impl Machine {
     pub(super) fn open(&mut self, now: Duration, packet: &packet::Packet) -> Verdict {
-        if self.is_holding() {
-            return self.hold();
-        }
-        let Some(route) = self.catalog.route(packet.flow.route) else {
-            return if self.is_current(now) {
-                self.refuse(now, packet, Reason::NoRoute)
-            } else {
-                self.withhold(now, packet, Reason::RouteUncertain)
-            };
-        };
-        let Some(service) = share(route, &packet.flow).map(|it| it.service.clone()) else {
-            return self.refuse(now, packet, Reason::NoTarget);
+        let service = match self.service_for(now, &packet.flow) {
+            Ok(service) => service,
+            Err(Obstacle::Held) => return self.hold(),
+            Err(Obstacle::Refused(reason)) => return self.refuse(now, packet, reason),
         };
         match self.choose(now, &service, packet) {
             Some(chosen) => self.send_opening(now, packet, chosen),
@@ -50,6 +54,31 @@
         }
     }
 
+    /// The service that a new flow goes to.
+    pub(super) fn service_for(
+        &self,
+        now: Duration,
+        flow: &packet::Flow,
+    ) -> Result<Arc<str>, Obstacle> {
+        if self.is_holding() {
+            return Err(Obstacle::Held);
+        }
+        let missing = if self.catalog.route(flow.route).is_some() {
+            Reason::NoTarget
+        } else if self.is_current(now) {
+            Reason::NoRoute
+        } else {
+            Reason::RouteUncertain
+        };
+        self.service_of(flow).ok_or(Obstacle::Refused(missing))
+    }
+
+    /// The service that the flow's route leads to.
+    pub(super) fn service_of(&self, flow: &packet::Flow) -> Option<Arc<str>> {
+        let route = self.catalog.route(flow.route)?;
+        share(route, flow).map(|it| it.service.clone())
+    }
+
     /// The target for an opening packet. A copy of one goes to another target than those before
     /// it, which have not answered.
     fn choose(&mut self, now: Duration, service: &str, packet: &packet::Packet) -> Option<Chosen> {
@@ -317,18 +346,17 @@
         });
     }
 
+    /// Refuses an opening packet: at once, or with silence while the register may be out of date.
     fn refuse(&mut self, now: Duration, packet: &packet::Packet, reason: Reason) -> Verdict {
-        self.counters.refused += 1;
         self.log_refusal(now, packet, reason);
+        if reason == Reason::RouteUncertain {
+            self.counters.withheld += 1;
+            return Verdict::Drop;
+        }
+        self.counters.refused += 1;
         Verdict::Reset
     }
 
-    fn withhold(&mut self, now: Duration, packet: &packet::Packet, reason: Reason) -> Verdict {
-        self.counters.withheld += 1;
-        self.log_refusal(now, packet, reason);
-        Verdict::Drop
-    }
-
     fn hold(&mut self) -> Verdict {
         self.counters.held += 1;
         Verdict::Hold
@@ -351,10 +379,7 @@
 }
 
 /// Draws a share of a route by its weight; the same flow always draws the same one.
-pub(super) fn share<'a>(
-    route: &'a record::Route,
-    flow: &packet::Flow,
-) -> Option<&'a record::Share> {
+fn share<'a>(route: &'a record::Route, flow: &packet::Flow) -> Option<&'a record::Share> {
     let total: u64 = route.shares.iter().map(|it| u64::from(it.weight)).sum();
     let hash = rendezvous::address(flow.client.into(), 0);
     let mut point = hash.checked_rem(total)?;
--- a/crates/mulberrynotch_steer/src/machine/doubt.rs
+++ b/crates/mulberrynotch_steer/src/machine/doubt.rs
@@ -7,7 +7,6 @@
 };
 
 use super::{
-    Action,
     DOUBT_PEERS,
     Machine,
     millis, //
@@ -27,10 +26,8 @@
             flows: self.evidence.failures(target).to_vec(),
             probe_failed: self.evidence.probe_failed(now, target),
         };
-        for to in self.doubt_peers(now) {
-            let message = message::Message::Doubt(doubt.clone());
-            self.actions.push(Action::Send { to, message });
-        }
+        let to = self.doubt_peers(now);
+        self.send(to, message::Message::Doubt(doubt));
     }
 
     /// Who is told of a doubt: peers of the own zone first, since only they have the same way to the
@@ -49,19 +46,16 @@
     pub(super) fn tell_alive(&mut self, now: Duration, target: record::Id) {
         let zone = self.fleet.me().zone.clone();
         let peers: Vec<_> = self.fleet.live(now, &zone).take(DOUBT_PEERS).collect();
-        for to in peers {
-            self.send_alive(now, to, target);
-        }
+        self.send_alive(now, peers, target);
     }
 
-    pub(super) fn send_alive(&mut self, now: Duration, to: SocketAddrV4, target: record::Id) {
+    pub(super) fn send_alive(&mut self, now: Duration, to: Vec<SocketAddrV4>, target: record::Id) {
         let alive = message::Alive {
             zone: self.fleet.me().zone.clone(),
             target,
             silent_ms: millis(Some(self.evidence.silence(now, target))),
         };
-        let message = message::Message::Alive(alive);
-        self.actions.push(Action::Send { to, message });
+        self.send(to, message::Message::Alive(alive));
     }
 
     pub(super) fn take_doubt(&mut self, now: Duration, from: SocketAddrV4, doubt: &message::Doubt) {
@@ -77,7 +71,7 @@
         };
         match self.evidence.told(now, doubt.target, &told) {
             Some(response) => self.respond(now, doubt.target, response),
-            None if near => self.send_alive(now, from, doubt.target),
+            None if near => self.send_alive(now, vec![from], doubt.target),
             None => {}
         }
     }
--- a/crates/mulberrynotch_steer/src/machine/explain.rs
+++ b/crates/mulberrynotch_steer/src/machine/explain.rs
@@ -62,14 +62,12 @@
     ///
     /// Changes nothing, so the answer holds until the next packet or change.
     pub fn explain(&self, now: Duration, flow: &packet::Flow, cookie: u32) -> Explanation {
-        let route = self.catalog.route(flow.route);
-        let share = route.and_then(|it| data::share(it, flow));
-        let service = share.map(|it| it.service.clone());
         let outcome = if cookie == cookie::NONE {
-            self.explain_opening(now, flow, service.as_deref())
+            self.explain_opening(now, flow)
         } else {
             self.explain_cookie(cookie)
         };
+        let service = self.service_of(flow);
         Explanation {
             outcome,
             candidates: self.sorted_candidates(now, flow, service.as_deref()),
@@ -80,31 +78,18 @@
         }
     }
 
-    fn explain_opening(
-        &self,
-        now: Duration,
-        flow: &packet::Flow,
-        service: Option<&str>,
-    ) -> Outcome {
-        if self.is_holding() {
-            return Outcome::Held;
-        }
-        if self.catalog.route(flow.route).is_none() {
-            return Outcome::Refused(if self.is_current(now) {
-                Reason::NoRoute
-            } else {
-                Reason::RouteUncertain
-            });
-        }
-        let Some(service) = service else {
-            return Outcome::Refused(Reason::NoTarget);
+    fn explain_opening(&self, now: Duration, flow: &packet::Flow) -> Outcome {
+        let service = match self.service_for(now, flow) {
+            Ok(service) => service,
+            Err(data::Obstacle::Held) => return Outcome::Held,
+            Err(data::Obstacle::Refused(reason)) => return Outcome::Refused(reason),
         };
-        let candidates = self.candidates(now, service, flow);
+        let candidates = self.candidates(now, &service, flow);
         let warm = candidates.filter(|it| it.standing.is_warm());
         if let Some(target) = self.load.best(now, warm, self.next_draw()) {
             return Outcome::Opened(target);
         }
-        let cold = self.cold(now, service, flow);
+        let cold = self.cold(now, &service, flow);
         cold.map_or(Outcome::Refused(Reason::NoTarget), Outcome::OpenedCold)
     }
 
--- a/crates/mulberrynotch_steer/src/machine/heartbeat.rs
+++ b/crates/mulberrynotch_steer/src/machine/heartbeat.rs
@@ -6,7 +6,6 @@
 };
 
 use super::{
-    Action,
     HEARTBEAT,
     JOINING_HEARTBEAT,
     Machine,
@@ -20,10 +19,8 @@
         let period = if alone { JOINING_HEARTBEAT } else { HEARTBEAT };
         self.heartbeat_at = now + period;
         let heartbeat = self.heartbeat(now);
-        for to in self.fleet.recipients(now) {
-            let message = message::Message::Heartbeat(heartbeat.clone());
-            self.actions.push(Action::Send { to, message });
-        }
+        let to = self.fleet.recipients(now);
+        self.send(to, message::Message::Heartbeat(heartbeat));
     }
 
     pub(super) fn heartbeat(&mut self, now: Duration) -> message::Heartbeat {
@@ -44,7 +41,7 @@
         let members = message::Message::Members(self.fleet.introduction(now));
         let heartbeat = message::Message::Heartbeat(self.heartbeat(now));
         for message in [members, heartbeat] {
-            self.actions.push(Action::Send { to, message });
+            self.send(vec![to], message);
         }
     }
 
--- a/crates/mulberrynotch_steer/src/machine/push.rs
+++ b/crates/mulberrynotch_steer/src/machine/push.rs
@@ -8,7 +8,6 @@
 };
 
 use super::{
-    Action,
     Machine, //
 };
 use crate::{
@@ -50,15 +49,14 @@
     }
 
     fn push(&mut self, changes: message::Changes, branches: &[spread::Branch]) {
-        for branch in branches {
+        // Peers that pass nothing on get the same message.
+        for alike in branches.chunk_by(|one, other| one.rest == other.rest) {
             let push = message::Push {
                 changes: changes.clone(),
-                relay: branch.rest.clone(),
+                relay: alike[0].rest.clone(),
             };
-            self.actions.push(Action::Send {
-                to: branch.head,
-                message: message::Message::Push(push),
-            });
+            let to = alike.iter().map(|it| it.head).collect();
+            self.send(to, message::Message::Push(push));
         }
     }
 
--- a/crates/mulberrynotch_steer/src/machine/store.rs
+++ b/crates/mulberrynotch_steer/src/machine/store.rs
@@ -43,6 +43,21 @@
         live.filter(|it| weight(*it) > mine).count()
     }
 
+    /// Takes in how a call to the store ended; `None` when it failed.
+    pub fn answered(&mut self, now: Duration, call: reader::Call, answer: Option<reader::Answer>) {
+        match (call, answer) {
+            (_, Some(reader::Answer::Listed { as_of, records })) => {
+                self.listed(now, as_of, records);
+            }
+            (reader::Call::Watch { after }, Some(reader::Answer::Changed { as_of, records })) => {
+                self.watched(now, after, as_of, records);
+            }
+            (_, Some(reader::Answer::TooMany)) => self.list_too_long(now),
+            (_, Some(_)) => self.history_lost(now),
+            (_, None) => self.call_failed(now),
+        }
+    }
+
     /// Takes in the records of a complete read of the store that is current as of `as_of`.
     pub fn listed(&mut self, now: Duration, as_of: u64, records: Vec<record::Record>) {
         let ended = self.ended(now, reader::Outcome::Answered { changed: true });
--- a/crates/mulberrynotch_steer/tests/control.rs
+++ b/crates/mulberrynotch_steer/tests/control.rs
@@ -10,7 +10,6 @@
     fleet::Fleet,
     member,
     ms,
-    removal,
     route,
     zone_out, //
 };
@@ -72,14 +71,7 @@
 fn a_joining_process_learns_removed_targets_from_its_peers() {
     let mut fleet = Fleet::new(3);
     fleet.run(2_000);
-    fleet
-        .records
-        .retain(|it| it.key != record::Key::Target(record::Id(7)));
-    fleet.revision = 60;
-    let gone = removal(record::Key::Target(record::Id(7)), 60);
-    for machine in fleet.machines.values_mut() {
-        machine.watched(fleet.now, 2, 60, vec![gone.clone()]);
-    }
+    fleet.remove_target(7, 60);
     let me = member(9, "a");
     let seeds = vec![fixture::address(1, 7_000)];
     let joining = machine::Machine::new(me.clone(), seeds, 9);
@@ -98,14 +90,7 @@
 fn a_zone_that_starts_anew_learns_removed_targets_from_others() {
     let mut fleet = Fleet::new(3);
     fleet.run(4_000);
-    fleet
-        .records
-        .retain(|it| it.key != record::Key::Target(record::Id(7)));
-    fleet.revision = 60;
-    let gone = removal(record::Key::Target(record::Id(7)), 60);
-    for machine in fleet.machines.values_mut() {
-        machine.watched(fleet.now, 2, 60, vec![gone.clone()]);
-    }
+    fleet.remove_target(7, 60);
     // They know each other first, and then one of them finds the others.
     for last in 11..=16 {
         let me = member(last, "b");
--- a/crates/mulberrynotch_steer/tests/evidence.rs
+++ b/crates/mulberrynotch_steer/tests/evidence.rs
@@ -162,12 +162,12 @@
     requests(&mut machine, 1_000);
     machine.tick(at(1_300));
     let actions = machine.take_actions().into_iter();
-    let told = actions.filter_map(|action| match action {
+    let told = actions.flat_map(|action| match action {
         steer::Action::Send {
             to,
             message: message::Message::Doubt(_),
-        } => Some(to),
-        _ => None,
+        } => to,
+        _ => Vec::new(),
     });
     let told: std::collections::BTreeSet<_> = told.collect();
     for last in 65..90 {
@@ -203,9 +203,10 @@
         let mut actions = machine.take_actions();
         while let Some(action) = actions.pop() {
             match action {
-                steer::Action::Send { message, .. } => {
+                steer::Action::Send { to, message } => {
                     let doubt = matches!(message, message::Message::Doubt(_));
-                    bytes += postcard::to_stdvec(&message).unwrap().len() * usize::from(doubt);
+                    let length = postcard::to_stdvec(&message).unwrap().len();
+                    bytes += length * to.len() * usize::from(doubt);
                 }
                 steer::Action::Probe { target: DARK, .. } => {
                     machine.probed(at(now + 20), DARK, Probe::Silent);
@@ -307,7 +308,7 @@
     assert_eq!(machine.evidence().verdict(DARK), Verdict::Good);
     let answers = machine.take_actions().into_iter();
     let told = answers.filter(|action| {
-        matches!(action, steer::Action::Send { to, message: message::Message::Alive(_) } if *to == peer)
+        matches!(action, steer::Action::Send { to, message: message::Message::Alive(_) } if *to == [peer])
     });
     assert_eq!(told.count(), 1);
 }
