Write the entries of the stand-in store, and set-ups of tests, once

Cause: the soak and the tests of a running balancer each wrote entries of the store by hand; two tests of replacements and three of stops repeated a set-up or an ending.

--- a/crates/mulberrynotch_policy/tests/flow_start.rs
+++ b/crates/mulberrynotch_policy/tests/flow_start.rs
@@ -17,17 +17,31 @@
 /// Time in which a process that stops still takes new work for its targets.
 const LATE_TRAFFIC: Duration = Duration::from_secs(2);
 
+/// Six balancers with cold targets, and flows that none of them has seen.
+fn just_started(seed: u64) -> (Fleet, Vec<wire::Flow>) {
+    let faults = Faults {
+        view_delay_ms: 100,
+        ..Faults::default()
+    };
+    let fleet = Fleet::new(6, inventory::register(&[14, 4], 2_000), faults, seed);
+    let flows = (0..280).map(|n| inventory::wire_flow(0, n)).collect();
+    (fleet, flows)
+}
+
+/// Each flow sends a packet in every second tick.
+fn turn(fleet: &mut Fleet, flows: &[wire::Flow], step: usize) {
+    for flow in flows.iter().skip(step % 2).step_by(2) {
+        fleet.packet(*flow);
+    }
+    fleet.tick();
+}
+
 /// Guards against flows that a cold target passed on and its next owner admits a second time: the
 /// redirects of their owners still wait in the control budget.
 #[test]
 fn replacement_right_after_a_start_breaks_no_flow() {
     for seed in 7_100..7_104 {
-        let faults = Faults {
-            view_delay_ms: 100,
-            ..Faults::default()
-        };
-        let mut fleet = Fleet::new(6, inventory::register(&[14, 4], 2_000), faults, seed);
-        let flows: Vec<wire::Flow> = (0..280).map(|n| inventory::wire_flow(0, n)).collect();
+        let (mut fleet, flows) = just_started(seed);
         for step in 0..400 {
             if step == 40 {
                 let joining = inventory::member(6);
@@ -39,10 +53,7 @@
                 fleet.members[1].state = control::State::Leaving;
                 fleet.publish();
             }
-            for flow in flows.iter().skip(step % 2).step_by(2) {
-                fleet.packet(*flow);
-            }
-            fleet.tick();
+            turn(&mut fleet, &flows, step);
         }
         assert_eq!(fleet.broken, 0, "seed {seed}");
         assert_eq!(fleet.flows.len(), flows.len(), "seed {seed}");
@@ -78,12 +89,7 @@
 #[test]
 fn replacement_by_a_process_that_knows_no_peers_yet_breaks_no_flow() {
     for seed in 7_300..7_304 {
-        let faults = Faults {
-            view_delay_ms: 100,
-            ..Faults::default()
-        };
-        let mut fleet = Fleet::new(6, inventory::register(&[14, 4], 2_000), faults, seed);
-        let flows: Vec<wire::Flow> = (0..280).map(|n| inventory::wire_flow(0, n)).collect();
+        let (mut fleet, flows) = just_started(seed);
         for step in 0..400 {
             match step {
                 40 => fleet.start_alone(&inventory::member(6)),
@@ -98,10 +104,7 @@
                 }
                 _ => {}
             }
-            for flow in flows.iter().skip(step % 2).step_by(2) {
-                fleet.packet(*flow);
-            }
-            fleet.tick();
+            turn(&mut fleet, &flows, step);
         }
         println!("seed {seed} broken {}", fleet.broken);
         assert_eq!(fleet.broken, 0, "seed {seed}");
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -53,6 +53,14 @@
     groups
 }
 
+/// Asserts that all workers get answers and no request was cut.
+async fn assert_requests_go_on(world: &World, load: &[Workers]) {
+    for workers in load {
+        world.answered(workers, 20).await;
+        assert_no_cut(&workers.report());
+    }
+}
+
 /// Guards against flows that move to another target when a balancer dies or joins.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn flows_keep_their_target_over_a_kill_and_a_join() -> io::Result<()> {
@@ -86,10 +94,7 @@
     }
     world.steady().await;
     assert_flows_go_on(&world, &flows, &before, "at the end").await;
-    for workers in &load {
-        world.answered(workers, 20).await;
-        assert_no_cut(&workers.report());
-    }
+    assert_requests_go_on(&world, &load).await;
     Ok(())
 }
 
@@ -110,10 +115,7 @@
         }
         world.steady().await;
         assert_flows_go_on(&world, &flows, &before, "at the end").await;
-        for workers in &load {
-            world.answered(workers, 20).await;
-            assert_no_cut(&workers.report());
-        }
+        assert_requests_go_on(&world, &load).await;
     }
     Ok(())
 }
@@ -135,10 +137,7 @@
     }
     world.steady().await;
     assert_flows_go_on(&world, &flows, &before, "at the end").await;
-    for workers in &load {
-        world.answered(workers, 20).await;
-        assert_no_cut(&workers.report());
-    }
+    assert_requests_go_on(&world, &load).await;
     Ok(())
 }
 
--- a/tests/steer_process.rs
+++ b/tests/steer_process.rs
@@ -82,7 +82,7 @@
         let address = SocketAddrV4::new(Ipv4Addr::new(127, block, 1, 1), 0);
         let started = runtime.block_on(store::Store::start(address.into(), 100));
         let store = started.unwrap();
-        store.put_configuration(7, route());
+        store.put_configuration(7, &[route()]);
         let settings = Self::settings(block, &store, seeds);
         let balancer = Command::new(PROGRAM)
             .args(["steer", "--settings", settings.to_str().unwrap()])
@@ -124,7 +124,13 @@
     fn put_target(&self, id: u16, draining: bool) {
         let [high, low] = id.to_be_bytes();
         let address = SocketAddrV4::new(Ipv4Addr::new(127, self.block, 5 + high, low), 8_000);
-        self.store.put_target(id, address, draining);
+        self.store.put_target(&store::Target {
+            id: id.into(),
+            address,
+            zone: "a",
+            draining,
+            born_ms: 1,
+        });
     }
 
     fn admin(&self) -> SocketAddrV4 {
