Tell callers over HTTP/1.1 to use another connection before theirs is closed

A balancer that stops closed idle connections over HTTP/1.1 two seconds after the leave. A request that was on its way then is cut, and its caller cannot know whether it ran; HTTP/2 has GOAWAY for it, HTTP/1.1 only the header of an answer. A connection that was accepted just before, with its first request on the way, was closed as well.

Ruled out: requests in progress (they are waited for), HTTP/2 (the last stream id says what did not run).

Change: from the leave on, answers over HTTP/1.1 carry "connection: close"; two seconds later only connections that were idle all the while are closed. An accepted connection without bytes has 500 ms for them, bytes that are here start their request, and a request that comes at the very end is waited for. A connection that was idle for longer than that can still meet its own close: only its caller's retry helps.

Tests first: both new tests of request_lifecycle fail without the change.

--- a/crates/mulberrynotch_net/src/node/shutdown.rs
+++ b/crates/mulberrynotch_net/src/node/shutdown.rs
@@ -55,6 +55,7 @@
         );
         self.draining.store(true, Ordering::Relaxed);
         self.core.leave();
+        self.core.requests.leave();
         let limit = Duration::from_secs(self.settings.limits.drain_seconds.into());
         let cut = tokio::select! {
             () = self.drained(timers) => None,
@@ -96,6 +97,10 @@
                 _ = linger.next() => break,
             }
         }
+        // A request that came while its connection was closed is answered as well.
+        while self.core.requests.in_progress() > 0 {
+            ticks.next().await;
+        }
     }
 
     fn is_drained(&self) -> bool {
--- a/crates/mulberrynotch_net/src/request/mod.rs
+++ b/crates/mulberrynotch_net/src/request/mod.rs
@@ -5,6 +5,7 @@
 
 mod body;
 mod connection;
+mod drain;
 mod entry;
 pub mod error;
 mod exchange;
@@ -113,7 +114,7 @@
     peers: pool::Pool,
     targets: pool::Pool,
     running: Arc<AtomicUsize>,
-    draining: watch::Sender<bool>,
+    stage: watch::Sender<drain::Stage>,
 }
 
 impl Service {
@@ -134,7 +135,7 @@
             peers: pool::Pool::new(Some(hello)),
             targets: pool::Pool::new(None),
             running: Arc::default(),
-            draining: watch::Sender::new(false),
+            stage: watch::Sender::new(drain::Stage::Serving),
             view: RwLock::new(view),
             config,
         })
@@ -182,9 +183,14 @@
         self.targets.tick(now);
     }
 
+    /// Tells callers over HTTP/1.1, with each answer, to use another connection.
+    pub fn leave(&self) {
+        self.stage.send_replace(drain::Stage::Leaving);
+    }
+
     /// Tells callers and peers to send no more requests; those in progress are finished.
     pub fn drain(&self) {
-        self.draining.send_replace(true);
+        self.stage.send_replace(drain::Stage::Closing);
     }
 
     /// Number of requests in progress, those of peers included.
@@ -205,7 +211,7 @@
             self.with_owner(|state| (state.policy.status(now), state.queued.len()));
         Status {
             in_progress: self.in_progress(),
-            draining: *self.draining.borrow(),
+            draining: *self.stage.borrow() != drain::Stage::Serving,
             queued,
             held_answers,
             peers: self.peers.len(),
--- a/crates/mulberrynotch_net/src/request/serve.rs
+++ b/crates/mulberrynotch_net/src/request/serve.rs
@@ -31,6 +31,7 @@
 use super::{
     Service,
     connection,
+    drain,
     header,
     reply,
     rewind, //
@@ -52,10 +53,12 @@
 macro_rules! run {
     ($service:expr, $connection:expr) => {{
         let mut connection = std::pin::pin!($connection);
-        let mut draining = $service.draining.subscribe();
+        let mut stage = $service.stage.subscribe();
         let ended = tokio::select! {
+            // Bytes that are here already start their request before the connection is told to end.
+            biased;
             _ = connection.as_mut() => true,
-            _ = draining.wait_for(|draining| *draining) => false,
+            () = drain::closing(&mut stage) => false,
         };
         if !ended {
             connection.as_mut().graceful_shutdown();
@@ -74,9 +77,9 @@
     ) where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let mut draining = self.draining.subscribe();
+        let mut stage = self.stage.subscribe();
         let detected = tokio::select! {
-            _ = draining.wait_for(|draining| *draining) => return,
+            () = drain::closing_unused(&mut stage) => return,
             detected = time::timeout(FIRST_BYTES, rewind::detect(stream)) => detected,
         };
         let Ok(Ok((stream, http2))) = detected else {
@@ -87,15 +90,18 @@
             let service = service.clone();
             async move {
                 // The register may have given the address to another service.
-                let answer = match service.view().service_at(address) {
+                let mut answer = match service.view().service_at(address) {
                     Some((id, model::Protocol::Http)) => {
-                        service.serve_request(request, caller, id).await
+                        service.clone().serve_request(request, caller, id).await
                     }
                     _ => {
                         let keyed = request.headers().contains_key(header::KEY);
                         reply::come_back(Duration::from_secs(1), keyed)
                     }
                 };
+                if !http2 {
+                    drain::mark(*service.stage.borrow(), &mut answer);
+                }
                 Ok::<_, Infallible>(answer)
             }
         });
--- a/crates/mulberrynotch_net/tests/request_lifecycle.rs
+++ b/crates/mulberrynotch_net/tests/request_lifecycle.rs
@@ -2,12 +2,15 @@
 
 mod support;
 
-use std::sync::{
-    Arc,
-    atomic::{
-        AtomicUsize,
-        Ordering, //
-    }, //
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        }, //
+    },
+    time::Duration, //
 };
 
 use support::{
@@ -26,7 +29,8 @@
 use tokio::{
     io::{
         AsyncReadExt,
-        AsyncWriteExt, //
+        AsyncWriteExt,
+        DuplexStream, //
     },
     sync::{
         Notify,
@@ -56,7 +60,7 @@
                 break;
             }
             assert!(answer.header("mulberrynotch-outcome").is_some());
-            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
         }
     })
     .await;
@@ -140,6 +144,51 @@
     assert_eq!(reason, Some(Some(h2::Reason::CANCEL)));
 }
 
+/// Sends a request over HTTP/1.1 and returns the head of the answer, in lower case, once it has come
+/// with its body.
+async fn ask(stream: &mut DuplexStream) -> String {
+    let text = b"GET / HTTP/1.1\r\nhost: s\r\n\r\n";
+    stream.write_all(text).await.unwrap();
+    let mut answer = Vec::new();
+    let read = async {
+        while !answer.ends_with(b"ran") && !answer.ends_with(b"0\r\n\r\n") {
+            let mut buffer = [0; 1_024];
+            let length = stream.read(&mut buffer).await.unwrap();
+            assert!(length > 0, "closed before the answer");
+            answer.extend_from_slice(&buffer[..length]);
+        }
+    };
+    bounded("the answer", read).await;
+    String::from_utf8(answer).unwrap().to_lowercase()
+}
+
+/// Guards against a shutdown that closes a connection over HTTP/1.1 while the next request is on its
+/// way: the caller sees it cut, and cannot know whether it ran.
+#[tokio::test]
+async fn callers_are_told_to_leave_before_their_connection_closes() {
+    let targets = [target(Arc::default(), ran).await];
+    let (entry, _owner) = pair(register(&targets, "")).await;
+    let (mut stream, mut ended) = connect(&entry);
+    assert!(!ask(&mut stream).await.contains("connection: close"));
+    entry.leave();
+    assert!(ask(&mut stream).await.contains("connection: close"));
+    assert_eq!(bounded("the end", stream.read(&mut [0])).await.unwrap(), 0);
+    bounded("the connection", ended.wait_for(|ended| *ended))
+        .await
+        .unwrap();
+}
+
+/// Guards against a shutdown that closes a connection whose first request is on its way.
+#[tokio::test]
+async fn a_first_request_that_meets_the_drain_is_answered() {
+    let targets = [target(Arc::default(), ran).await];
+    let (entry, _owner) = pair(register(&targets, "")).await;
+    let (mut stream, _ended) = connect(&entry);
+    entry.drain();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(ask(&mut stream).await.contains("connection: close"));
+}
+
 /// Guards against a shutdown that cuts a running request or waits for idle connections.
 #[tokio::test]
 async fn drain_finishes_running_requests() {
