Keep the reason of each request without an answer in the report of callers

Cause: a failed test on requests told only how many had no answer; whether the connection was closed before, during or after the request had to be guessed. The report keeps the first twenty reasons, and assert_no_cut prints them.

--- a/crates/mulberrynotch_standin/src/caller/requests.rs
+++ b/crates/mulberrynotch_standin/src/caller/requests.rs
@@ -53,6 +53,9 @@
     lock, //
 };
 
+/// Attempts without a complete response whose reason is kept.
+const MAX_FAILURES: usize = 20;
+
 /// Time on top of a request's deadline before its caller gives up, for an answer on its way.
 const GRACE: Duration = Duration::from_secs(1);
 
@@ -107,6 +110,8 @@
     pub orders: BTreeMap<String, Vec<Outcome>>,
     /// Longest time of an attempt.
     pub slowest: Duration,
+    /// The first attempts without a complete response: order and reason.
+    pub failures: Vec<String>,
 }
 
 impl Report {
@@ -114,6 +119,12 @@
         *self.attempts.entry(outcome).or_default() += 1;
         self.slowest = self.slowest.max(took);
     }
+
+    fn note_failure(&mut self, order: &str, reason: &str) {
+        if self.failures.len() < MAX_FAILURES {
+            self.failures.push(format!("{order}: {reason}"));
+        }
+    }
 }
 
 /// Workers in progress.
@@ -200,10 +211,8 @@
             let limit = self.config.deadline + GRACE;
             let outcome = match time::timeout(limit, self.attempt(order)).await {
                 Ok(Ok(outcome)) => outcome,
-                Ok(Err(_)) | Err(_) => {
-                    self.sender = None;
-                    Outcome::Failed
-                }
+                Ok(Err(error)) => self.fail(order, report, &format!("{error:?}")),
+                Err(_) => self.fail(order, report, "no answer after its deadline"),
             };
             outcomes.push(outcome);
             lock(report).note(outcome, start.elapsed());
@@ -219,6 +228,12 @@
         }
     }
 
+    fn fail(&mut self, order: &str, report: &Mutex<Report>, reason: &str) -> Outcome {
+        self.sender = None;
+        lock(report).note_failure(order, reason);
+        Outcome::Failed
+    }
+
     async fn attempt(&mut self, order: &str) -> io::Result<Outcome> {
         let request = self.request(order)?;
         let response = self.send(request).await?;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -393,7 +393,8 @@
             requests::Outcome::Answered | requests::Outcome::NotRun
         )
     };
-    assert!(report.attempts.keys().all(fine), "{:?}", report.attempts);
+    let (attempts, failures) = (&report.attempts, &report.failures);
+    assert!(attempts.keys().all(fine), "{attempts:?}, {failures:?}");
 }
 
 /// Takes the first range that no other site holds. It stays taken until the process ends, because
