Let a request that lost its connection wait for a busy target

An attempt on a connection that fell silent takes 1.0 to 1.5 s until it is given up; when the other targets are busy in that moment, the request was given up with three seconds of its deadline left.

Ruled out: the retry budget (3 at each process when the first round begins); a second silent connection (all are suspect 0.7 s after they fell silent).

Change: the time to wait counts from the end of the last attempt without an answer. A refusal that is "not run" is as early as before.

Test first: a_request_that_lost_its_connection_waits_for_a_busy_target.

--- a/crates/mulberrynotch_policy/src/request/entry.rs
+++ b/crates/mulberrynotch_policy/src/request/entry.rs
@@ -44,8 +44,9 @@
     Duration::from_millis(80),
 ];
 
-/// A request starts no further round this long after it arrived: a caller that is refused is told
-/// soon, not at its deadline.
+/// A request starts no further round this long after it arrived, or after an attempt of it ended
+/// without an answer: a caller that is refused is told soon, not at its deadline. One whose request
+/// may have run has no use for an early answer.
 const WAIT_TIME: Duration = Duration::from_millis(700);
 
 /// Requests of one class that wait at the ingress balancer at most.
@@ -62,7 +63,8 @@
 #[derive(Debug)]
 pub struct Plan {
     request: Request,
-    arrived: Duration,
+    /// When the request arrived, or its last attempt ended without an answer.
+    waits_since: Duration,
     tried: Vec<id::Target>,
     /// True after an attempt that could wait in the queue of an owner.
     queued: bool,
@@ -124,7 +126,7 @@
         self.budget.request();
         Some(Plan {
             request,
-            arrived: now,
+            waits_since: now,
             tried: Vec::new(),
             queued: false,
             rounds: 0,
@@ -183,7 +185,10 @@
             (Some(Outcome::NotRun { .. }), Some(target)) => {
                 self.loads.insert(*target, (0, now));
             }
-            (Some(Outcome::Answered { .. } | Outcome::Unknown), _) => plan.may_have_run = true,
+            (Some(Outcome::Answered { .. } | Outcome::Unknown), _) => {
+                plan.may_have_run = true;
+                plan.waits_since = now;
+            }
             _ => {}
         }
     }
@@ -282,7 +287,7 @@
         let class = plan.request.class as usize;
         let until = now + ROUND[class];
         // A round that ends at the deadline would only delay the refusal.
-        let end = plan.request.deadline.min(plan.arrived + WAIT_TIME);
+        let end = plan.request.deadline.min(plan.waits_since + WAIT_TIME);
         let useful = until + ROUND[class] <= end;
         if plan.rounds >= MAX_ROUNDS || !useful || self.waiting[class] >= MAX_WAITING {
             return None;
--- a/crates/mulberrynotch_policy/tests/request.rs
+++ b/crates/mulberrynotch_policy/tests/request.rs
@@ -104,6 +104,30 @@
         .quickcheck(holds as fn(bool, Vec<(u8, u8)>) -> bool);
 }
 
+/// Guards against an idempotent request that is given up with most of its deadline left: its first
+/// attempt ended with the connection, after longer than refused requests may wait, and the other
+/// targets are busy for a moment.
+#[test]
+fn a_request_that_lost_its_connection_waits_for_a_busy_target() {
+    let mut entry = entry(64);
+    for _ in 0..50 {
+        let plan = entry.begin(Duration::ZERO, request(model::Class::High, true));
+        entry.end(Duration::ZERO, plan.unwrap());
+    }
+    let request = request(model::Class::High, true);
+    let mut plan = entry.begin(Duration::ZERO, request).unwrap();
+    let tries = |step: Step| matches!(step, Step::Try { .. });
+    assert!(tries(entry.next(Duration::ZERO, &mut plan, None)));
+    let lost = ms(1_200);
+    assert!(tries(entry.next(lost, &mut plan, Some(Outcome::Unknown))));
+    let busy = Some(Outcome::NotRun { busy: true });
+    assert!(tries(entry.next(lost + ms(1), &mut plan, busy)));
+    let Step::Wait { until } = entry.next(lost + ms(2), &mut plan, busy) else {
+        panic!("given up with 0.8 s left");
+    };
+    assert!(tries(entry.next(until, &mut plan, None)));
+}
+
 /// Guards against a low class that fills the process, and against a low class that is kept from
 /// what the high class leaves.
 #[test]
