Give requests an id, say why one was not answered, and spend no retry on a busy owner

Cause: a request that ended as "unknown" or "not run" on the product's own interface left no line in the logs; which owners were asked, how long each took and which error ended an exchange was lost. With the lines, the rest of a_silent_connection_to_a_target_is_replaced was traced: two busy owners, then a silent connection at the third attempt (attempts=orders-1:busy:0ms, orders-2:busy:0ms,orders-0:unknown:1231ms), and no retry, since busy owners counted as attempts.

Change: x-request-id, from the caller or made here, goes to the target and back. request_unanswered names every attempt with its time, the register's revision and whether it was confirmed; request_exchange_failed and request_not_connected name the error; 100 lines of a kind a second. Two retries after failures, whatever was busy before.

Tests first: busy_owners_use_up_no_retry, and a_request_carries_one_id_to_its_target_and_back.

--- a/crates/mulberrynotch_net/src/request/entry.rs
+++ b/crates/mulberrynotch_net/src/request/entry.rs
@@ -33,6 +33,7 @@
     body::Body,
     exchange::Trace,
     header,
+    line,
     lock,
     owner::Attempted,
     record::Record,
@@ -85,10 +86,19 @@
         let running = self.count();
         let (mut parts, body) = request.into_parts();
         let keyed = parts.headers.contains_key(header::KEY);
+        let id = line::ensure_id(&self.config.me, &mut parts.headers);
         let view = self.view();
         let Some(entry) = view.service(service) else {
             return reply::come_back(RETRY_AFTER, keyed);
         };
+        let end = line::End {
+            id: &id,
+            service: &entry.name,
+            keyed,
+            arrived: self.now(),
+            revision: view.register.revision,
+            confirmed: view.confirmed,
+        };
         let class = rule::classify(&view.register, entry, &parts.method, parts.uri.path());
         let record = Record::new(entry.name.clone(), class.class);
         let remaining = header::deadline(&parts.headers)
@@ -105,9 +115,11 @@
                 self.answer(request, parts, body).await
             }
         };
+        end.log(self.now(), &answer);
         record.finish(&answer);
         answer.headers_mut().remove(header::RESULT);
         answer.headers_mut().remove(header::FREE);
+        line::answer_id(answer.headers_mut(), id);
         answer.body_mut().guard(running);
         answer
     }
@@ -184,6 +196,8 @@
         let mut last = None;
         let mut held = None;
         let mut attempts = 0;
+        let mut history = line::History::default();
+        let mut refusal = reply::refused(RETRY_AFTER);
         while let Some(step) = admitted.next(last.take()) {
             let (target, owner, queue) = match step {
                 Step::Try {
@@ -197,7 +211,10 @@
                 }
                 Step::Unknown => break,
                 Step::Refuse { .. } if trace.may_have_run() => break,
-                Step::Refuse { retry_after } => return reply::refused(retry_after),
+                Step::Refuse { retry_after } => {
+                    refusal = reply::refused(retry_after);
+                    break;
+                }
             };
             attempts += 1;
             super::record::attempt(attempts);
@@ -208,7 +225,10 @@
                 queue,
                 remaining: self.remaining(request.deadline),
             };
-            last = match self.attempt(&owner, &order, parts, upload, trace).await {
+            let began = self.now();
+            let attempted = self.attempt(&owner, &order, parts, upload, trace).await;
+            let took = self.now().saturating_sub(began);
+            last = match attempted {
                 Attempted::Answer(answer, free) => {
                     lock(&self.entry).learn(self.now(), target, free);
                     let shed = answer.status() == StatusCode::SERVICE_UNAVAILABLE;
@@ -217,15 +237,19 @@
                     }
                     // The target shed a request that another may run.
                     trace.unknown();
+                    history.add(&self.name_of(target), took, "shed");
                     held = Some(*answer);
                     Some(Outcome::Unknown)
                 }
                 Attempted::NotRun(busy) => {
                     trace.not_run();
+                    let outcome = if busy { "busy" } else { "not-reached" };
+                    history.add(&self.name_of(target), took, outcome);
                     Some(Outcome::NotRun { busy })
                 }
                 Attempted::Unknown => {
                     trace.unknown();
+                    history.add(&self.name_of(target), took, "unknown");
                     Some(Outcome::Unknown)
                 }
             };
@@ -234,11 +258,19 @@
                 break;
             }
         }
-        match held {
+        let mut answer = match held {
             Some(answer) => answer,
             None if trace.may_have_run() => reply::unknown(),
-            None => reply::refused(RETRY_AFTER),
-        }
+            None => refusal,
+        };
+        answer.extensions_mut().insert(history);
+        answer
+    }
+
+    fn name_of(&self, target: id::Target) -> Arc<str> {
+        let view = self.view();
+        view.target(target)
+            .map_or_else(|| "-".into(), |entry| entry.name.clone())
     }
 
     async fn attempt(
--- a/crates/mulberrynotch_net/src/request/exchange.rs
+++ b/crates/mulberrynotch_net/src/request/exchange.rs
@@ -17,6 +17,7 @@
 
 use super::{
     connection,
+    line,
     upload::{
         Sending,
         Upload, //
@@ -86,7 +87,8 @@
     trace.sent();
     let (answer, stream) = match lease.sender.send_request(head, empty) {
         Ok(sent) => sent,
-        Err(_) => {
+        Err(error) => {
+            line::exchange_failed(&parts.headers, &error, true);
             trace.not_run();
             return Err(Failure::NotRun);
         }
@@ -94,11 +96,15 @@
     let sending = (!empty).then(|| upload.send(stream));
     match answer.await {
         Ok(answer) => Ok((answer, Progress(sending, lease.usage))),
-        Err(error) if proves_not_run(&error) => {
+        Err(error) => {
+            let proven = proves_not_run(&error);
+            line::exchange_failed(&parts.headers, &error, proven);
+            if !proven {
+                return Err(Failure::Unknown);
+            }
             trace.not_run();
             Err(Failure::NotRun)
         }
-        Err(_) => Err(Failure::Unknown),
     }
 }
 
--- /dev/null
+++ b/crates/mulberrynotch_net/src/request/line.rs
@@ -0,0 +1,143 @@
+//! The id of a request, and log lines on requests that were not answered at the first attempt.
+
+use std::{
+    fmt::Write,
+    sync::atomic::{
+        AtomicU64,
+        Ordering, //
+    },
+    time::Duration, //
+};
+
+use http::{
+    HeaderMap,
+    HeaderName,
+    HeaderValue,
+    Response, //
+};
+
+use super::header::OUTCOME;
+use crate::event;
+
+/// Id of a request, from its caller or made here. It goes to the target and back to the caller.
+const ID: HeaderName = HeaderName::from_static("x-request-id");
+
+/// Longest id that is taken from a caller, in bytes.
+const MAX_ID: usize = 128;
+
+/// Lines of one kind in a second.
+const LINES_PER_SECOND: u64 = 100;
+
+/// One second, in milliseconds.
+const SECOND_MS: u64 = 1_000;
+
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+static EXCHANGES: event::Limiter = event::Limiter::with(LINES_PER_SECOND, SECOND_MS);
+static ENDS: event::Limiter = event::Limiter::with(LINES_PER_SECOND, SECOND_MS);
+
+/// Gives a request without a usable id one that names this process.
+pub(super) fn ensure_id(me: &str, headers: &mut HeaderMap) -> HeaderValue {
+    if let Some(id) = headers.get(ID).filter(|id| is_usable(id)) {
+        return id.clone();
+    }
+    let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
+    // Names of processes are checked by the settings and fit a header.
+    let id = HeaderValue::from_str(&format!("{me}-{number:x}"))
+        .unwrap_or_else(|_| HeaderValue::from(number));
+    headers.insert(ID, id.clone());
+    id
+}
+
+/// Names the request in the answer to its caller.
+pub(super) fn answer_id(headers: &mut HeaderMap, id: HeaderValue) {
+    headers.insert(ID, id);
+}
+
+fn is_usable(id: &HeaderValue) -> bool {
+    let bytes = id.as_bytes();
+    (1..=MAX_ID).contains(&bytes.len()) && bytes.iter().all(u8::is_ascii_graphic)
+}
+
+fn id_of(headers: &HeaderMap) -> &str {
+    headers
+        .get(ID)
+        .and_then(|id| id.to_str().ok())
+        .unwrap_or("-")
+}
+
+/// The attempts of a request that brought no answer, for the line that says so.
+#[derive(Clone, Debug, Default)]
+pub(super) struct History(String);
+
+impl History {
+    /// Adds an attempt on a target.
+    pub(super) fn add(&mut self, target: &str, took: Duration, outcome: &str) {
+        let comma = if self.0.is_empty() { "" } else { "," };
+        // Writing to a string does not fail.
+        let _ = write!(self.0, "{comma}{target}:{outcome}:{}ms", took.as_millis());
+    }
+}
+
+/// Logs the error that ended the exchange of a request with a target or an owner.
+pub(super) fn exchange_failed(headers: &HeaderMap, error: &h2::Error, proven_not_run: bool) {
+    let fields: [event::Field<'_>; 3] = [
+        ("request", &id_of(headers)),
+        ("error", error),
+        ("proven_not_run", &proven_not_run),
+    ];
+    EXCHANGES.warn(event::uptime(), "request_exchange_failed", &fields);
+}
+
+/// Logs that no connection to a target could be used for a request.
+pub(super) fn not_connected(
+    headers: &HeaderMap,
+    address: &dyn std::fmt::Display,
+    error: &std::io::Error,
+) {
+    let fields: [event::Field<'_>; 3] = [
+        ("request", &id_of(headers)),
+        ("address", address),
+        ("error", error),
+    ];
+    EXCHANGES.warn(event::uptime(), "request_not_connected", &fields);
+}
+
+/// What a request without an answer of a target was decided on.
+pub(super) struct End<'a> {
+    /// Id of the request.
+    pub(super) id: &'a HeaderValue,
+    /// Name of the service.
+    pub(super) service: &'a str,
+    /// True when the request has an idempotency key.
+    pub(super) keyed: bool,
+    /// When it arrived, since the start of the process.
+    pub(super) arrived: Duration,
+    /// Revision of the register that it was routed by.
+    pub(super) revision: u64,
+    /// False while the view is not confirmed.
+    pub(super) confirmed: bool,
+}
+
+impl End<'_> {
+    /// Logs an answer that the balancer made itself.
+    pub(super) fn log<B>(&self, now: Duration, answer: &Response<B>) {
+        let Some(outcome) = answer.headers().get(OUTCOME) else {
+            return;
+        };
+        let outcome = outcome.to_str().unwrap_or("-");
+        let attempts = answer.extensions().get::<History>();
+        let attempts = attempts.map_or("", |history| &history.0);
+        let fields: [event::Field<'_>; 9] = [
+            ("request", &self.id.to_str().unwrap_or("-")),
+            ("service", &self.service),
+            ("keyed", &self.keyed),
+            ("status", &answer.status().as_u16()),
+            ("outcome", &outcome),
+            ("took_ms", &now.saturating_sub(self.arrived).as_millis()),
+            ("attempts", &attempts),
+            ("revision", &self.revision),
+            ("confirmed", &self.confirmed),
+        ];
+        ENDS.warn(now, "request_unanswered", &fields);
+    }
+}
--- a/crates/mulberrynotch_net/src/request/mod.rs
+++ b/crates/mulberrynotch_net/src/request/mod.rs
@@ -12,6 +12,7 @@
 mod header;
 mod home;
 mod keys;
+mod line;
 mod owner;
 mod peer;
 mod pool;
--- a/crates/mulberrynotch_net/src/request/owner.rs
+++ b/crates/mulberrynotch_net/src/request/owner.rs
@@ -35,6 +35,7 @@
         Trace, //
     },
     header,
+    line,
     lock,
     upload::Upload, //
 };
@@ -100,9 +101,13 @@
             Ok(ticket) => ticket,
             Err(busy) => return Attempted::NotRun(busy),
         };
-        let Ok(lease) = self.targets.get(self.now(), address).await else {
-            ticket.outcome = Some(Outcome::NotRun { busy: false });
-            return Attempted::NotRun(false);
+        let lease = match self.targets.get(self.now(), address).await {
+            Ok(lease) => lease,
+            Err(error) => {
+                line::not_connected(&parts.headers, &address, &error);
+                ticket.outcome = Some(Outcome::NotRun { busy: false });
+                return Attempted::NotRun(false);
+            }
         };
         let mut parts = parts.clone();
         header::set_deadline(&mut parts.headers, self.remaining(deadline));
--- a/crates/mulberrynotch_net/src/request/peer.rs
+++ b/crates/mulberrynotch_net/src/request/peer.rs
@@ -28,6 +28,7 @@
     },
     header,
     keys,
+    line,
     owner::{
         self,
         Attempted, //
@@ -102,7 +103,10 @@
         upload: &Upload,
         trace: &Trace,
     ) -> Result<Response<Body>, Failure> {
-        let lease = self.peer(peer).await.map_err(|_| Failure::NotRun)?;
+        let lease = self.peer(peer).await.map_err(|error| {
+            line::not_connected(&parts.headers, &peer, &error);
+            Failure::NotRun
+        })?;
         let mut parts = parts.clone();
         order.encode(&mut parts.headers);
         let (answer, progress) = exchange::exchange(lease, &parts, upload, trace).await?;
--- a/crates/mulberrynotch_net/tests/request_answer.rs
+++ b/crates/mulberrynotch_net/tests/request_answer.rs
@@ -210,3 +210,26 @@
     assert_eq!(answer.head.status, 200, "{:?}", answer.head);
     assert_eq!(answer.body.as_deref(), Some(BYTES.to_string().as_bytes()));
 }
+
+/// Guards against a request that cannot be followed: its id must reach the target, whichever balancer
+/// sends it there, and the answer must name it. An id that would break a log line is replaced.
+#[tokio::test]
+async fn a_request_carries_one_id_to_its_target_and_back() {
+    let handler = |call: Call| async move {
+        let id = call.request.headers()["x-request-id"].clone();
+        call.answer(200, Bytes::copy_from_slice(id.as_bytes()));
+    };
+    let targets = [target(Arc::default(), handler).await];
+    let (entry, _owner) = pair(register(&targets, "")).await;
+    let (sender, _) = caller(&entry).await;
+    for (given, kept) in [(Some("order-7"), true), (Some("a b"), false), (None, false)] {
+        let mut request = request("GET", "/");
+        if let Some(id) = given {
+            request = request.header("x-request-id", id);
+        }
+        let answer = send(&sender, request, "").await;
+        let id = answer.header("x-request-id").unwrap();
+        assert_eq!(answer.body.as_deref(), Some(id.as_bytes()));
+        assert_eq!(given == Some(id), kept, "{id}");
+    }
+}
--- a/crates/mulberrynotch_policy/src/request/entry.rs
+++ b/crates/mulberrynotch_policy/src/request/entry.rs
@@ -34,6 +34,10 @@
 /// Owners that are asked before a request waits or is refused.
 const MAX_ATTEMPTS: usize = 3;
 
+/// Attempts that may follow one that failed. Owners that were busy do not count: they say that a
+/// request waits, not that it fails.
+const MAX_RETRIES: u32 = 2;
+
 /// Rounds of waiting at the ingress balancer; each ends with one more attempt.
 const MAX_ROUNDS: u32 = 2;
 
@@ -66,6 +70,8 @@
     /// When the request arrived, or its last attempt ended without an answer.
     waits_since: Duration,
     tried: Vec<id::Target>,
+    /// Attempts that ended without an answer and without a busy owner.
+    failed: u32,
     /// True after an attempt that could wait in the queue of an owner.
     queued: bool,
     rounds: u32,
@@ -128,6 +134,7 @@
             request,
             waits_since: now,
             tried: Vec::new(),
+            failed: 0,
             queued: false,
             rounds: 0,
             waiting: false,
@@ -181,6 +188,11 @@
     }
 
     fn note(&mut self, now: Duration, plan: &mut Plan, last: Option<Outcome>) {
+        let failed = matches!(
+            last,
+            Some(Outcome::Unknown | Outcome::NotRun { busy: false })
+        );
+        plan.failed += u32::from(failed);
         match (last, plan.tried.last()) {
             (Some(Outcome::NotRun { .. }), Some(target)) => {
                 self.loads.insert(*target, (0, now));
@@ -194,7 +206,7 @@
     }
 
     fn may_retry(&mut self, now: Duration, plan: &Plan) -> bool {
-        now < plan.request.deadline && plan.tried.len() < MAX_ATTEMPTS && self.budget.take()
+        now < plan.request.deadline && plan.failed <= MAX_RETRIES && self.budget.take()
     }
 
     /// Tries another target, or waits, or gives up.
--- a/crates/mulberrynotch_policy/tests/request.rs
+++ b/crates/mulberrynotch_policy/tests/request.rs
@@ -55,6 +55,14 @@
     }
 }
 
+/// Lets earlier requests fill the retry budget.
+fn earn_retries(entry: &mut request::Entry) {
+    for _ in 0..50 {
+        let plan = entry.begin(Duration::ZERO, request(model::Class::High, true));
+        entry.end(Duration::ZERO, plan.unwrap());
+    }
+}
+
 /// Guards against "not run" for a request that may have run in an earlier attempt, against a
 /// second attempt of a non-idempotent request without proof, against attempts without bound, and
 /// against attempts after the deadline, in any order of outcomes.
@@ -62,11 +70,7 @@
 fn any_order_of_outcomes() {
     fn holds(idempotent: bool, events: Vec<(u8, u8)>) -> bool {
         let mut entry = entry(64);
-        // Earlier requests fill the retry budget.
-        for _ in 0..50 {
-            let plan = entry.begin(Duration::ZERO, request(model::Class::High, true));
-            entry.end(Duration::ZERO, plan.unwrap());
-        }
+        earn_retries(&mut entry);
         let request = request(model::Class::Normal, idempotent);
         let mut plan = entry.begin(Duration::ZERO, request).unwrap();
         let (mut now, mut last, mut tries, mut may_have_run) = (Duration::ZERO, None, 0, false);
@@ -110,10 +114,7 @@
 #[test]
 fn a_request_that_lost_its_connection_waits_for_a_busy_target() {
     let mut entry = entry(64);
-    for _ in 0..50 {
-        let plan = entry.begin(Duration::ZERO, request(model::Class::High, true));
-        entry.end(Duration::ZERO, plan.unwrap());
-    }
+    earn_retries(&mut entry);
     let request = request(model::Class::High, true);
     let mut plan = entry.begin(Duration::ZERO, request).unwrap();
     let tries = |step: Step| matches!(step, Step::Try { .. });
@@ -128,6 +129,27 @@
     assert!(tries(entry.next(until, &mut plan, None)));
 }
 
+/// Guards against an idempotent request that is not tried again, although only one attempt failed:
+/// the owners that were asked before were busy.
+#[test]
+fn busy_owners_use_up_no_retry() {
+    let mut entry = entry(64);
+    earn_retries(&mut entry);
+    let request = request(model::Class::High, true);
+    let mut plan = entry.begin(Duration::ZERO, request).unwrap();
+    let busy = Some(Outcome::NotRun { busy: true });
+    for last in [None, busy, busy] {
+        let step = entry.next(Duration::ZERO, &mut plan, last);
+        assert!(matches!(step, Step::Try { .. }));
+    }
+    let step = entry.next(ms(1_200), &mut plan, Some(Outcome::Unknown));
+    let Step::Wait { until } = step else {
+        panic!("given up after one failed attempt");
+    };
+    let step = entry.next(until, &mut plan, None);
+    assert!(matches!(step, Step::Try { .. }));
+}
+
 /// Guards against a low class that fills the process, and against a low class that is kept from
 /// what the high class leaves.
 #[test]
