Read the store by VMs with bandwidth, and condemn no target while peers do not answer

The reader of a zone was drawn by a hash; three of four had links of 10 Mbit/s. Its 21 peers fetched the configuration from it, about 1.3 MB, and for 1.5 s the packets of clients, probes and messages waited in its link: openings and requests to every target failed (43 at one balancer in 2 s), two probes in a row were silent, other targets made some progress, and live targets were taken for dead.

Ruled out: bad targets (only readers saw them fail), loss at the peers, the processor (no late tick).

Change: members tell their bandwidth; the live member with most of it, in powers of two, reads first. Answers to fetches take half of the link at most. A verdict needs a peer of the zone that answered a question within 50 ms in the last 400 ms; with no live peer it stands as before.

Tests first (crates/mulberrynotch_steer/tests/contact.rs): the order of readers, the pace, and a machine whose peer does not answer at once; a machine that is heard still resets within the same second.

--- a/benches/benches/steer.rs
+++ b/benches/benches/steer.rs
@@ -83,6 +83,7 @@
         address: address(0),
         zone: Arc::from("zone-0"),
         incarnation: 1,
+        link_mbps: 1_000,
         silent_ms: 0,
     };
     let mut machine = machine::Machine::new(me, Vec::new(), 1);
--- a/crates/mulberrynotch_net/src/steer/line.rs
+++ b/crates/mulberrynotch_net/src/steer/line.rs
@@ -186,6 +186,7 @@
             silence,
             failures,
             probe_failed,
+            contact,
         } => limited(
             &VERDICTS,
             now,
@@ -196,6 +197,7 @@
                 ("silent_ms", &Millis(Some(*silence))),
                 ("failures", failures),
                 ("probe_failed", probe_failed),
+                ("contact_ms", &Millis(*contact)),
             ],
         ),
         Event::Changed { change, as_of } => write_change(now, change, *as_of),
--- a/crates/mulberrynotch_net/src/steer/mod.rs
+++ b/crates/mulberrynotch_net/src/steer/mod.rs
@@ -40,6 +40,7 @@
 use mulberrynotch_steer::{
     machine,
     message,
+    pace,
     packet,
     pause,
     reader, //
@@ -127,6 +128,7 @@
     packets: UdpSocket,
     peers: UdpSocket,
     pulls: TcpListener,
+    pace: Mutex<pace::Pace>,
     /// Time of the last packet of a client, in milliseconds of the machine's clock.
     last_packet_ms: AtomicU64,
 }
@@ -187,6 +189,7 @@
             packets,
             peers,
             pulls,
+            pace: Mutex::new(pace::Pace::new(settings.link_mbps)),
             last_packet_ms: AtomicU64::new(0),
             settings,
         }))
@@ -240,6 +243,10 @@
         (self.clock)()
     }
 
+    fn lock_pace(&self) -> MutexGuard<'_, pace::Pace> {
+        self.pace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, machine::Machine> {
         self.machine.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -318,6 +325,7 @@
         address: settings.peer_address,
         zone: settings.zone.clone(),
         incarnation,
+        link_mbps: settings.link_mbps,
         silent_ms: 0,
     };
     let random = rendezvous::weight(rendezvous::name(&settings.name), incarnation);
--- a/crates/mulberrynotch_net/src/steer/peer.rs
+++ b/crates/mulberrynotch_net/src/steer/peer.rs
@@ -28,7 +28,7 @@
 use crate::event;
 
 /// First byte of each message; the format is known by it, and changes with the messages.
-const FORMAT: u8 = 0x52;
+const FORMAT: u8 = 0x53;
 
 /// Longest datagram between balancers, in bytes; most are far shorter.
 const MAX_DATAGRAM: usize = 8_192;
@@ -69,6 +69,9 @@
         TooLong {
             display("the message is too long; run one version everywhere")
         }
+        Busy {
+            display("the link is full of answers to others; the peer asks another balancer")
+        }
         OtherFormat {
             display("the message has another format; run one version everywhere")
         }
@@ -155,7 +158,10 @@
     async fn answer_pull(&self, mut stream: TcpStream) -> Result<(), PullError> {
         let pull = postcard::from_bytes(&read_message(&mut stream, MAX_PULL).await?)?;
         let answer = self.lock().pulled_by(self.now(), &pull);
-        write_message(&mut stream, &postcard::to_stdvec(&answer)?).await
+        let answer = postcard::to_stdvec(&answer)?;
+        let wait = self.lock_pace().reserve(self.now(), answer.len());
+        tokio::time::sleep(wait.ok_or(PullError::Busy)?).await;
+        write_message(&mut stream, &answer).await
     }
 
     /// Fetches records from a peer.
--- a/crates/mulberrynotch_register/src/read.rs
+++ b/crates/mulberrynotch_register/src/read.rs
@@ -207,6 +207,20 @@
     u32::try_from(number).ok()
 }
 
+/// Reads a number that may have decimals, and leaves these out.
+pub(crate) fn decimal(reader: &mut Reader, value: &ast::Value<'_>) -> Option<u32> {
+    let literal = value.as_number_lit().map(|literal| literal.value);
+    let parts = literal.map(|literal| literal.split_once('.').unwrap_or((literal, "0")));
+    let number = parts.and_then(|(whole, decimals)| {
+        let digits = decimals.bytes().all(|byte| byte.is_ascii_digit());
+        whole.parse().ok().filter(|_| digits)
+    });
+    if number.is_none() {
+        return reader.mismatch(value, "a number from 0 to 4294967295");
+    }
+    number
+}
+
 /// Reads a `u8`.
 pub(crate) fn byte(reader: &mut Reader, value: &ast::Value<'_>) -> Option<u8> {
     let number = whole(reader, value, u64::from(u8::MAX))?;
--- a/crates/mulberrynotch_register/src/steering.rs
+++ b/crates/mulberrynotch_register/src/steering.rs
@@ -24,6 +24,9 @@
 /// Longest graceful shutdown by default, in milliseconds.
 const DRAIN_MS: u32 = 5_000;
 
+/// Bandwidth of the VM's link by default, in Mbit/s.
+const LINK_MBPS: u32 = 1_000;
+
 /// Longest graceful shutdown that can be set, in milliseconds.
 const MAX_DRAIN_MS: u32 = 600_000;
 
@@ -48,6 +51,8 @@
         pub seeds: Vec<SocketAddrV4>,
         /// Longest graceful shutdown, in milliseconds.
         pub drain_ms: u32,
+        /// Bandwidth of the VM's link, in Mbit/s. VMs with more read the store for their zone.
+        pub link_mbps: u32,
         /// Lowest level that is logged.
         pub log_level: settings::Level,
     }
@@ -66,7 +71,7 @@
 
 /// Reads settings.
 pub(crate) fn read(reader: &mut Reader, value: &Value<'_>) -> Option<Settings> {
-    const KEYS: [&str; 10] = [
+    const KEYS: [&str; 11] = [
         "name",
         "zone",
         "packet_address",
@@ -76,6 +81,7 @@
         "store_address",
         "seeds",
         "drain_ms",
+        "link_mbps",
         "log_level",
     ];
     let object = reader.object(value, &KEYS)?;
@@ -93,6 +99,7 @@
         Vec::new(),
     );
     let drain_ms = reader.or(object, "drain_ms", read::number, DRAIN_MS);
+    let link_mbps = reader.or(object, "link_mbps", read::decimal, LINK_MBPS);
     let level = settings::Level::default();
     let log_level = reader.or(object, "log_level", decode::level, level);
     Some(Settings {
@@ -105,6 +112,7 @@
         store_address: store_address?,
         seeds: seeds?,
         drain_ms: drain_ms?,
+        link_mbps: link_mbps?,
         log_level: log_level?,
     })
 }
--- a/crates/mulberrynotch_standin/src/emulator/world/balancer.rs
+++ b/crates/mulberrynotch_standin/src/emulator/world/balancer.rs
@@ -47,6 +47,7 @@
             address: balancer.address,
             zone: Arc::from(format!("zone-{}", balancer.zone)),
             incarnation: balancer.start,
+            link_mbps: 1_000,
             silent_ms: 0,
         };
         let random = rendezvous::address(balancer.address.into(), balancer.start);
@@ -272,5 +273,6 @@
         message::Message::Push(_) => "push",
         message::Message::Doubt(_) => "doubt",
         message::Message::Alive(_) => "alive",
+        message::Message::Ask(_) | message::Message::Answer(_) => "contact",
     }
 }
--- a/crates/mulberrynotch_steer/src/evidence.rs
+++ b/crates/mulberrynotch_steer/src/evidence.rs
@@ -10,7 +10,10 @@
     time::Duration, //
 };
 
-use crate::record;
+use crate::{
+    contact,
+    record, //
+};
 
 /// First time for which a target that failed gets no new flows.
 const FIRST_DOUBT: Duration = Duration::from_millis(300);
@@ -124,6 +127,7 @@
     /// The target with the latest progress, and when; and the latest one of another target.
     latest: Option<(record::Id, Duration)>,
     second: Option<(record::Id, Duration)>,
+    contact: contact::Contact,
 }
 
 impl Case {
@@ -148,6 +152,21 @@
 }
 
 impl Table {
+    /// What is known of the ways to the peers.
+    pub fn contact(&self) -> &contact::Contact {
+        &self.contact
+    }
+
+    /// Takes in questions to peers and their answers.
+    pub fn contact_mut(&mut self) -> &mut contact::Contact {
+        &mut self.contact
+    }
+
+    /// True while a target is in doubt.
+    pub fn is_undecided(&self) -> bool {
+        self.cases.values().any(|it| it.doubtful && !it.dead)
+    }
+
     /// The verdict on a target.
     pub fn verdict(&self, target: record::Id) -> Verdict {
         match self.cases.get(&target) {
@@ -360,7 +379,8 @@
 
     fn judge(&mut self, now: Duration, target: record::Id) {
         let contact = self.others_progress(target);
-        let contact = contact.is_some_and(|at| now.saturating_sub(at) < OWN_CONTACT);
+        let contact = contact.is_some_and(|at| now.saturating_sub(at) < OWN_CONTACT)
+            && self.contact.is_proven(now);
         let silent = self.silence(now, target) >= DEAD_SILENCE;
         if let Some(case) = self.cases.get_mut(&target) {
             let probed = case.probe_failed(now) && case.failed_probes >= DEAD_PROBES;
--- a/crates/mulberrynotch_steer/src/fleet.rs
+++ b/crates/mulberrynotch_steer/src/fleet.rs
@@ -62,6 +62,7 @@
 struct Member {
     zone: Arc<str>,
     incarnation: u64,
+    link_mbps: u32,
     heard_at: Duration,
     left: bool,
 }
@@ -123,6 +124,7 @@
         if let Some(known) = self.members.get_mut(&told.address) {
             if told.incarnation > known.incarnation {
                 known.incarnation = told.incarnation;
+                known.link_mbps = told.link_mbps;
                 known.left = false;
             }
             if told.incarnation == known.incarnation {
@@ -132,6 +134,7 @@
             let member = Member {
                 zone: told.zone.clone(),
                 incarnation: told.incarnation,
+                link_mbps: told.link_mbps,
                 heard_at,
                 left: false,
             };
@@ -178,6 +181,22 @@
             .map(|(address, _)| *address)
     }
 
+    /// Place of the process among the live members of its zone, 0 for the one that reads the store
+    /// for the others. Whoever reads also sends what it read to the zone: on a thin link that
+    /// would delay the packets of clients for seconds, so members with more bandwidth come first.
+    pub fn rank(&self, now: Duration) -> usize {
+        let order = |address: SocketAddrV4, link_mbps: u32| {
+            let weight = rendezvous::address(address.into(), 0);
+            (link_mbps.checked_ilog2(), weight)
+        };
+        let mine = order(self.me.address, self.me.link_mbps);
+        let links = self.live(now, &self.me.zone).filter_map(|address| {
+            let member = self.members.get(&address)?;
+            Some(order(address, member.link_mbps))
+        });
+        links.filter(|it| *it > mine).count()
+    }
+
     /// All balancers heard of lately, dead ones and the process itself included: those that could
     /// be sending to a target.
     pub fn possible_senders(&self) -> usize {
@@ -289,6 +308,7 @@
                 address: *address,
                 zone: member.zone.clone(),
                 incarnation: member.incarnation,
+                link_mbps: member.link_mbps,
                 silent_ms: u32::try_from(silent).unwrap_or(u32::MAX),
             })
         });
--- a/crates/mulberrynotch_steer/src/lib.rs
+++ b/crates/mulberrynotch_steer/src/lib.rs
@@ -16,12 +16,14 @@
 
 pub mod catalog;
 pub mod choice;
+pub mod contact;
 pub mod cookie;
 pub mod evidence;
 pub mod fleet;
 pub mod flow;
 pub mod machine;
 pub mod message;
+pub mod pace;
 pub mod packet;
 pub mod patch;
 pub mod pause;
--- a/crates/mulberrynotch_steer/src/machine/data.rs
+++ b/crates/mulberrynotch_steer/src/machine/data.rs
@@ -322,6 +322,7 @@
             }
         }
         if response.probe {
+            self.check_contact(now);
             self.probe(target);
         }
         if response.tell {
@@ -343,6 +344,7 @@
             silence: self.evidence.silence(now, target),
             failures: self.evidence.failures(target).len(),
             probe_failed: self.evidence.probe_failed(now, target),
+            contact: self.evidence.contact().age(now),
         });
     }
 
--- a/crates/mulberrynotch_steer/src/machine/doubt.rs
+++ b/crates/mulberrynotch_steer/src/machine/doubt.rs
@@ -17,6 +17,9 @@
     record, //
 };
 
+/// Peers that are asked whether they hear this process; one of them may have ended.
+const ASKED_PEERS: usize = 2;
+
 impl Machine {
     pub(super) fn tell_doubt(&mut self, now: Duration, target: record::Id) {
         let doubt = message::Doubt {
@@ -49,6 +52,24 @@
         self.send_alive(now, peers, target);
     }
 
+    /// Asks peers whether they hear this process, while a target is in doubt here.
+    pub(super) fn check_contact(&mut self, now: Duration) {
+        if !self.evidence.is_undecided() {
+            return;
+        }
+        let peers: Vec<_> = self
+            .fleet
+            .freshest(now)
+            .into_iter()
+            .take(ASKED_PEERS)
+            .collect();
+        let contact = self.evidence.contact_mut();
+        contact.set_alone(peers.is_empty());
+        if contact.ask(now) {
+            self.send(peers, message::Message::Ask(millis(Some(now))));
+        }
+    }
+
     pub(super) fn send_alive(&mut self, now: Duration, to: Vec<SocketAddrV4>, target: record::Id) {
         let alive = message::Alive {
             zone: self.fleet.me().zone.clone(),
--- a/crates/mulberrynotch_steer/src/machine/event.rs
+++ b/crates/mulberrynotch_steer/src/machine/event.rs
@@ -106,6 +106,8 @@
             failures: usize,
             /// True when a probe failed.
             probe_failed: bool,
+            /// Time since the latest question to a peer that was answered in time.
+            contact: Option<Duration>,
         },
         /// The register changed.
         Changed {
--- a/crates/mulberrynotch_steer/src/machine/heartbeat.rs
+++ b/crates/mulberrynotch_steer/src/machine/heartbeat.rs
@@ -64,6 +64,13 @@
             message::Message::Push(push) => self.take_push(now, from, push),
             message::Message::Doubt(doubt) => self.take_doubt(now, from, &doubt),
             message::Message::Alive(alive) => self.take_alive(now, &alive),
+            message::Message::Ask(asked_ms) => {
+                self.send(vec![from], message::Message::Answer(asked_ms));
+            }
+            message::Message::Answer(asked_ms) => {
+                let asked_at = Duration::from_millis(asked_ms.into());
+                self.evidence.contact_mut().answered(now, asked_at);
+            }
         }
     }
 
--- a/crates/mulberrynotch_steer/src/machine/store.rs
+++ b/crates/mulberrynotch_steer/src/machine/store.rs
@@ -1,11 +1,6 @@
 //! Calls to the store and what they return.
 
-use std::{
-    net::SocketAddrV4,
-    time::Duration, //
-};
-
-use mulberrynotch_policy::rendezvous;
+use std::time::Duration;
 
 use super::{
     Action,
@@ -25,7 +20,7 @@
         }
         let heard_at = *self.reader_at.get_or_insert(now);
         let zone = reader::Zone {
-            rank: self.rank(now),
+            rank: self.fleet.rank(now),
             reader_age: now.saturating_sub(heard_at),
             relay_delay: self.fleet.relay_delay(),
         };
@@ -34,15 +29,6 @@
         }
     }
 
-    /// Place in the zone's order of readers, 0 for the first.
-    pub(super) fn rank(&self, now: Duration) -> usize {
-        let me = self.fleet.me();
-        let weight = |address: SocketAddrV4| rendezvous::address(address.into(), 0);
-        let mine = weight(me.address);
-        let live = self.fleet.live(now, &me.zone);
-        live.filter(|it| weight(*it) > mine).count()
-    }
-
     /// Takes in how a call to the store ended; `None` when it failed.
     pub fn answered(&mut self, now: Duration, call: reader::Call, answer: Option<reader::Answer>) {
         match (call, answer) {
--- a/crates/mulberrynotch_steer/src/machine/time.rs
+++ b/crates/mulberrynotch_steer/src/machine/time.rs
@@ -17,6 +17,7 @@
     /// Lets time pass; to be called every few tens of milliseconds.
     pub fn tick(&mut self, now: Duration) {
         self.check_unanswered(now);
+        self.check_contact(now);
         self.check_targets(now);
         self.check_confirmation(now);
         self.call_store(now);
--- a/crates/mulberrynotch_steer/src/message.rs
+++ b/crates/mulberrynotch_steer/src/message.rs
@@ -23,6 +23,10 @@
         Doubt(Doubt),
         /// A target makes progress.
         Alive(Alive),
+        /// Asks for an [`Message::Answer`] at once; holds the sender's time, in milliseconds.
+        Ask(u32),
+        /// Answer to a question, with the time that it held.
+        Answer(u32),
     }
 
     /// State of the sender.
@@ -53,6 +57,8 @@
         pub zone: Arc<str>,
         /// Start of the process, in milliseconds since the Unix epoch.
         pub incarnation: u64,
+        /// Bandwidth of the VM's link, in Mbit/s.
+        pub link_mbps: u32,
         /// Time since the member was last heard of, in milliseconds.
         pub silent_ms: u32,
     }
--- /dev/null
+++ b/crates/mulberrynotch_steer/tests/contact.rs
@@ -0,0 +1,153 @@
+//! A balancer whose own link is full or loses packets: it must condemn no target, and it must not
+//! be the one that sends the register to its zone.
+
+mod fixture;
+
+use std::time::Duration;
+
+use fixture::{
+    at,
+    data,
+    entry,
+    machine,
+    ms,
+    target, //
+};
+use mulberrynotch_steer::{
+    contact::Contact,
+    evidence::{
+        Probe,
+        Verdict, //
+    },
+    fleet,
+    machine as steer,
+    message,
+    pace::Pace,
+    record, //
+};
+
+const DARK: record::Id = record::Id(7);
+
+/// Time that probes and answers take on a free link, in milliseconds.
+const FREE_LINK: u64 = 2;
+
+/// Runs a machine with one peer for a second, in which two flows of a target fail, its probes are
+/// silent and another target makes progress; answers of the peer take `answer_ms`. Returns the
+/// number of flows that were reset.
+fn resets(answer_ms: Option<u64>) -> usize {
+    let targets = [7, 8].map(|id| target(id, id, entry("a")));
+    let mut machine = machine(targets.into());
+    let peer = fixture::member(2, "a");
+    let from = peer.address;
+    for port in [7, 107] {
+        machine.packet(at(0), &data(port, 7, 10, 9, 10));
+        machine.packet(at(1), &data(port, 7, 20, 19, 0));
+        machine.packet(at(1_000), &data(port, 7, 90_000, 19, 10));
+    }
+    let mut count = 0;
+    let mut answers: Vec<(Duration, u32)> = Vec::new();
+    for step in (1_000..2_000).step_by(10) {
+        let now = at(step);
+        // What the peer sends arrives.
+        let members = message::Message::Members(vec![peer.clone()]);
+        machine.receive(now, from, members);
+        let position = u32::try_from(step * 10).unwrap();
+        machine.packet(now, &data(8, 8, position, position, 10));
+        machine.packet(now, &data(8, 8, position + 10, position + 9, 0));
+        for (_, asked) in answers.extract_if(.., |(due, _)| *due <= now) {
+            machine.receive(now, from, message::Message::Answer(asked));
+        }
+        machine.tick(now);
+        let mut actions = machine.take_actions();
+        while let Some(action) = actions.pop() {
+            match action {
+                steer::Action::Reset { .. } => count += 1,
+                steer::Action::Probe { target: DARK, .. } => {
+                    machine.probed(now, DARK, Probe::Silent);
+                    actions.extend(machine.take_actions());
+                }
+                steer::Action::Send {
+                    message: message::Message::Ask(asked),
+                    ..
+                } => answers.extend(answer_ms.map(|delay| (now + ms(delay), asked))),
+                _ => {}
+            }
+        }
+    }
+    let dead = machine.evidence().verdict(DARK) == Verdict::Dead;
+    assert_eq!(dead, count > 0);
+    count
+}
+
+/// Guards against the fault seen on 90 VMs: balancers that sent a large configuration over a thin link
+/// reset the flows of live targets, since their packets and probes waited in that link, while some
+/// packets still passed.
+#[test]
+fn a_balancer_that_its_peers_do_not_hear_at_once_resets_no_flow() {
+    assert_eq!(resets(None), 0);
+    assert_eq!(resets(Some(200)), 0);
+}
+
+/// Guards against flows that hang on a dead target because the balancer waits for its peers.
+#[test]
+fn a_balancer_that_its_peers_hear_resets_the_flows_of_a_dead_target() {
+    assert_eq!(resets(Some(FREE_LINK)), 2);
+}
+
+/// Guards against an old answer that counts for long, and against a peer that is asked without end.
+#[test]
+fn an_answer_counts_for_a_moment() {
+    let mut contact = Contact::default();
+    assert!(contact.is_proven(at(0)), "nobody to ask");
+    contact.set_alone(false);
+    assert!(!contact.is_proven(at(0)));
+    assert!(contact.ask(at(0)) && !contact.ask(at(50)));
+    contact.answered(at(5), at(0));
+    assert!(contact.is_proven(at(300)) && !contact.is_proven(at(500)));
+    assert!(contact.ask(at(500)));
+    contact.answered(at(700), at(500));
+    assert!(!contact.is_proven(at(700)), "late");
+}
+
+/// Guards against a VM with a thin link that reads the store for its zone, and then sends everything
+/// that changed to all its peers.
+#[test]
+fn the_members_with_most_bandwidth_read_first() {
+    let member = |last: u8, link_mbps| message::Member {
+        link_mbps,
+        ..fixture::member(last, "a")
+    };
+    let links = [10, 200, 10, 180, 50, 200, 10];
+    let members: Vec<_> = (1..)
+        .zip(links)
+        .map(|(last, link)| member(last, link))
+        .collect();
+    let mut ranks: Vec<(usize, u32)> = Vec::new();
+    for me in &members {
+        let mut fleet = fleet::Fleet::new(me.clone(), Vec::new(), 1);
+        members.iter().for_each(|it| fleet.learn(at(0), it));
+        ranks.push((fleet.rank(at(0)), me.link_mbps));
+    }
+    ranks.sort_unstable();
+    let (order, links): (Vec<_>, Vec<_>) = ranks.into_iter().unzip();
+    assert_eq!(order, [0, 1, 2, 3, 4, 5, 6], "one order for all");
+    assert!(links[..3].iter().all(|it| *it >= 180), "{links:?}");
+    assert_eq!(links[3..], [50, 10, 10, 10]);
+}
+
+/// Guards against answers to peers that fill the link, and against peers that wait for long when they
+/// could ask another balancer.
+#[test]
+fn answers_to_peers_leave_half_of_the_link() {
+    const ANSWER: usize = 62_500;
+    let mut pace = Pace::new(10);
+    let now = at(0);
+    let waits: Vec<_> = (0..22).map(|_| pace.reserve(now, ANSWER)).collect();
+    // Half of 10 Mbit/s is ten answers of 62,500 bytes in a second.
+    for (number, wait) in waits.iter().enumerate() {
+        let expected = u64::try_from(number * 100).unwrap();
+        let expected = (expected <= 1_000).then(|| ms(expected));
+        assert_eq!(*wait, expected);
+    }
+    assert_eq!(pace.reserve(at(5_000), ANSWER), Some(Duration::ZERO));
+}
