Let the retry of a request that may have run wait in the queue of an owner

Cause (a_silent_connection_to_a_target_is_replaced, rest): the attempt that was lost with its connection had used the request's one place in the queue of an owner. With two of three targets busy, the retry could only ask twice within 0.1 s, and was answered "unknown" (attempts=orders-2:busy:0ms, orders-0:busy:0ms,orders-1:unknown:1190ms,orders-1:busy:0ms,orders-1:busy:0ms).

Change: a request that may have run has a place in a queue again.

Test first: busy_owners_use_up_no_retry, last line.

--- a/crates/mulberrynotch_policy/src/request/entry.rs
+++ b/crates/mulberrynotch_policy/src/request/entry.rs
@@ -199,7 +199,9 @@
             }
             (Some(Outcome::Answered { .. } | Outcome::Unknown), _) => {
                 plan.may_have_run = true;
+                // A retry may wait like a first attempt, in the queue of an owner too.
                 plan.waits_since = now;
+                plan.queued = false;
             }
             _ => {}
         }
--- a/crates/mulberrynotch_policy/tests/request.rs
+++ b/crates/mulberrynotch_policy/tests/request.rs
@@ -146,8 +146,9 @@
     let Step::Wait { until } = step else {
         panic!("given up after one failed attempt");
     };
+    // The attempt that failed had the place in the queue of its owner; the next one needs another.
     let step = entry.next(until, &mut plan, None);
-    assert!(matches!(step, Step::Try { .. }));
+    assert!(matches!(step, Step::Try { queue: true, .. }));
 }
 
 /// Guards against a low class that fills the process, and against a low class that is kept from
