Hold up no stop for records of a home that was handed over without any

Ruled out: requests in progress, messages without acknowledgement, control traffic that waits (all 0).

Change: a pull of a home that was given up and has no records is a delivery.

Test first: records_of_a_home_that_was_handed_over_empty_hold_up_no_stop.

--- a/crates/mulberrynotch_net/src/node/status.rs
+++ b/crates/mulberrynotch_net/src/node/status.rs
@@ -33,7 +33,7 @@
         serde_json::json!({
             "name": &*self.settings.name,
             "zone": &*self.settings.zone,
-            "uptime_ms": u64::try_from(uptime.as_millis()).unwrap_or(u64::MAX),
+            "uptime_ms": core::millis(uptime),
             "draining": self.draining.load(Ordering::Relaxed),
             "control": {
                 "revision": view.register.revision,
--- a/crates/mulberrynotch_net/src/request/header.rs
+++ b/crates/mulberrynotch_net/src/request/header.rs
@@ -13,6 +13,8 @@
     model, //
 };
 
+use crate::core;
+
 /// Start of the names of all headers that the balancer defines.
 const PREFIX: &str = "mulberrynotch-";
 
@@ -108,14 +110,14 @@
                 set(TARGET, attempt.target.0);
                 set(CLASS, attempt.class as u64);
                 set(QUEUE, attempt.queue.into());
-                set(DEADLINE, millis(attempt.remaining));
+                set(DEADLINE, core::millis(attempt.remaining));
             }
             Self::Keyed(keyed) => {
                 set(SERVICE, keyed.service.0);
                 set(CLASS, keyed.class as u64);
                 set(IDEMPOTENT, keyed.idempotent.into());
                 set(HOPS, keyed.hops.into());
-                set(DEADLINE, millis(keyed.remaining));
+                set(DEADLINE, core::millis(keyed.remaining));
             }
         }
     }
@@ -161,7 +163,7 @@
 
 /// Sets the remaining time.
 pub(super) fn set_deadline(headers: &mut HeaderMap, remaining: Duration) {
-    headers.insert(DEADLINE, HeaderValue::from(millis(remaining)));
+    headers.insert(DEADLINE, HeaderValue::from(core::millis(remaining)));
 }
 
 /// Removes the headers that the balancer defines.
@@ -195,7 +197,3 @@
         headers.insert(header::TE, HeaderValue::from_static("trailers"));
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/mulberrynotch_net/src/request/pool.rs
+++ b/crates/mulberrynotch_net/src/request/pool.rs
@@ -17,6 +17,7 @@
 };
 
 use super::connection;
+use crate::core;
 
 /// A connection without a new request for this long is closed.
 const IDLE: Duration = Duration::from_secs(60);
@@ -57,7 +58,7 @@
         address: SocketAddr,
     ) -> io::Result<connection::Lease> {
         let slot = self.slot(address);
-        slot.used_ms.store(millis(now), Ordering::Relaxed);
+        slot.used_ms.store(core::millis(now), Ordering::Relaxed);
         for _ in 0..MAX_TRIES {
             let connection = self.connection(&slot, address).await?;
             if let Ok(lease) = connection.lease().await {
@@ -79,7 +80,7 @@
 
     /// Closes connections that were not used lately, once their requests have ended.
     pub(super) fn tick(&self, now: Duration) {
-        let limit = millis(now.saturating_sub(IDLE));
+        let limit = core::millis(now.saturating_sub(IDLE));
         self.slots()
             .retain(|_, slot| slot.used_ms.load(Ordering::Relaxed) >= limit);
     }
@@ -116,7 +117,3 @@
         self.slots.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/mulberrynotch_policy/src/idempotency/handover.rs
+++ b/crates/mulberrynotch_policy/src/idempotency/handover.rs
@@ -67,7 +67,10 @@
         }
         let mut rest = self.keys_of(target);
         rest.retain(|key| Some(*key) > after);
-        if after.is_some() && rest.is_empty() {
+        // A home that takes no more keys and has none has nothing to deliver either; records that it
+        // holds later as a backup are those of the new home.
+        let is_over = after.is_some() || self.ceded_to(target).is_some();
+        if is_over && rest.is_empty() {
             self.handovers.delivered.insert(target);
         }
         let followers = self.handovers.followers.entry(target).or_default();
--- a/crates/mulberrynotch_policy/tests/idempotency.rs
+++ b/crates/mulberrynotch_policy/tests/idempotency.rs
@@ -573,3 +573,45 @@
     assert_eq!(made("01920000-0000-7abc-8abc-0123456789a"), None);
     assert_eq!(made("01910000-0000-7abc-8abc-0123456789ab"), None);
 }
+
+/// Guards against a stop that reaches its drain limit over records that the process holds for
+/// another home: it had handed that home over with no records, and became its backup.
+#[test]
+fn records_of_a_home_that_was_handed_over_empty_hold_up_no_stop() {
+    let register = Arc::new(register(1));
+    let mut ledger = Ledger::new(view(0, &members(&[0]), &register), 10);
+    let all = view(0, &members(&FLEET), &register);
+    ledger.set_view(ms(200), all.clone());
+    let backed_up = |n: &u64| {
+        let (owner, home) = ledger.home(service(), key_of(*n))?;
+        let backup = all.assignment.backup(home);
+        (owner != all.me && backup == Some(&all.me)).then_some((key_of(*n), owner, home))
+    };
+    let found = (0..1_000).find_map(|n| backed_up(&n));
+    let (key, owner, home) = found.expect("a target whose backup is the process");
+    let pull = key::Message::Pull {
+        home,
+        after: None,
+        revision: register.revision,
+        claim: true,
+    };
+    ledger.receive(ms(300), &owner, pull);
+    let put = key::Message::Put {
+        sequence: 1,
+        fresh: true,
+        records: vec![key::Record {
+            key,
+            home,
+            request: 7,
+            state: key::State::Running,
+            age_ms: 0,
+        }],
+    };
+    ledger.receive(ms(400), &owner, put);
+    let mut leaving = members(&FLEET);
+    leaving[0].state = control::State::Leaving;
+    ledger.set_view(ms(500), view(0, &leaving, &register));
+    ledger.tick(ms(600));
+    assert_eq!(ledger.status(ms(600)).running, 1);
+    assert!(ledger.drained());
+}
