Undo mutual imports of entry and home, custody and former, owned and release

Requests that were admitted and their attempts are modules of their own, so that the home of a key no longer imports the entry that imports it; what a chain before a change means for a target stands with the chain, and the progress of a release with the owned target.

--- a/crates/mulberrynotch_net/src/request/home.rs
+++ b/crates/mulberrynotch_net/src/request/home.rs
@@ -41,8 +41,8 @@
 
 use super::{
     Service,
+    admitted::Admitted,
     body::Body,
-    entry::Admitted,
     exchange::{
         Failure,
         Trace, //
@@ -60,12 +60,12 @@
     lock,
     peer,
     reply,
-    upload::Upload, //
+    upload::{
+        MAX_KEYED,
+        Upload, //
+    }, //
 };
 
-/// Largest body of a request with a key, in bytes: its digest is needed before it is sent.
-pub(super) const MAX_BODY: usize = 256 * 1_024;
-
 /// Largest answer that is held for resends, in bytes.
 const MAX_ANSWER: usize = 64 * 1_024;
 
@@ -126,7 +126,7 @@
         let Some(admitted) = self.begin(request) else {
             return peer::final_answer(reply::retry(RETRY_AFTER));
         };
-        let read = time::timeout(order.remaining, Upload::read(body, MAX_BODY));
+        let read = time::timeout(order.remaining, Upload::read(body, MAX_KEYED));
         let answer = match read.await {
             Ok(Ok(Upload::Held(data, _))) => {
                 self.run_keyed(admitted, parts, data, order.hops).await
--- a/crates/mulberrynotch_net/src/request/mod.rs
+++ b/crates/mulberrynotch_net/src/request/mod.rs
@@ -3,6 +3,8 @@
 //! The balancer that a caller reached runs the request at the owners of targets until one answers.
 //! A request that must not run twice is attempted again only with proof that it did not run.
 
+mod admitted;
+mod attempt;
 mod body;
 mod connection;
 mod drain;
--- a/crates/mulberrynotch_net/src/request/upload.rs
+++ b/crates/mulberrynotch_net/src/request/upload.rs
@@ -26,6 +26,9 @@
     lock, //
 };
 
+/// Largest body of a request with a key, in bytes: its digest is needed before it is sent.
+pub(super) const MAX_KEYED: usize = 256 * 1_024;
+
 /// Largest body that is held for retries, in bytes.
 pub(super) const MAX_HELD: usize = 64 * 1_024;
 
--- a/crates/mulberrynotch_policy/src/flow/owned.rs
+++ b/crates/mulberrynotch_policy/src/flow/owned.rs
@@ -11,8 +11,7 @@
 
 use super::{
     liveness,
-    ramp,
-    release, //
+    ramp, //
 };
 
 /// Smaller changes of a count are reported with the next regular one.
@@ -60,6 +59,15 @@
     pub(super) claimed_at: Duration,
 }
 
+/// Release of the flows of a target, in progress.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Release {
+    /// Next shard of the table to look at.
+    pub(super) shard: usize,
+    /// Flows that may be released now, in tenths.
+    pub(super) credit: u32,
+}
+
 /// The part of a handover that waits for its acknowledgement.
 #[derive(Clone, Debug)]
 pub(super) struct Part {
@@ -94,7 +102,7 @@
     pub(super) ramp: ramp::Ramp,
     pub(super) liveness: liveness::Liveness,
     /// Release of the flows after the target died.
-    pub(super) release: Option<release::Release>,
+    pub(super) release: Option<Release>,
     pub(super) flows: u32,
     pub(super) phase: Phase,
     pub(super) collection: Option<Collection>,
--- a/crates/mulberrynotch_policy/src/flow/release.rs
+++ b/crates/mulberrynotch_policy/src/flow/release.rs
@@ -8,7 +8,10 @@
 use super::{
     Machine,
     liveness::Change,
-    owned::Phase,
+    owned::{
+        Phase,
+        Release, //
+    },
     ramp,
     table::{
         Kind,
@@ -27,14 +30,6 @@
 /// flows that callers open.
 const PACE_DIVISOR: u32 = 2;
 
-/// Release of the flows of a target, in progress.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Release {
-    shard: usize,
-    /// Flows that may be released now, in tenths.
-    credit: u32,
-}
-
 impl Machine {
     /// Judges the owned targets, and releases flows of those that are dead.
     pub(super) fn tick_liveness(&mut self, now: Duration) {
--- a/crates/mulberrynotch_policy/src/idempotency/custody.rs
+++ b/crates/mulberrynotch_policy/src/idempotency/custody.rs
@@ -15,7 +15,6 @@
     Ledger,
     WINDOW,
     collect,
-    former,
     hash, //
 };
 use crate::{
@@ -160,13 +159,6 @@
         serves && whole(target) && (!claim || inherited.all(whole))
     }
 
-    /// True unless the former owner of `target` followed the change before it handed over.
-    fn matters(&self, now: Duration, former: &former::Former, target: id::Target) -> bool {
-        let custody = self.custody.get(&target);
-        let covered = custody.is_some_and(|known| known.whole && known.since > former.since);
-        now < former.since + WINDOW && !covered
-    }
-
     fn follow_owner(&mut self, now: Duration, target: id::Target, before: &view::View) {
         let owner = self.view.assignment.owner(target).cloned();
         let previous = before.assignment.owner(target).cloned();
--- a/crates/mulberrynotch_policy/src/idempotency/former.rs
+++ b/crates/mulberrynotch_policy/src/idempotency/former.rs
@@ -6,6 +6,7 @@
 
 use super::{
     Ledger,
+    WINDOW,
     custody,
     hash,
     outgoing::Then, //
@@ -108,6 +109,13 @@
         ids.filter(|id| joined || gone(*id)).collect()
     }
 
+    /// True unless the former owner of `target` followed the change before it handed over.
+    pub(super) fn matters(&self, now: Duration, former: &Former, target: id::Target) -> bool {
+        let custody = self.custody.get(&target);
+        let covered = custody.is_some_and(|known| known.whole && known.since > former.since);
+        now < former.since + WINDOW && !covered
+    }
+
     fn inherit_from(&mut self, now: Duration, source: id::Target, before: &view::View) {
         let known = self.custody.get(&source);
         let was_mine = before.owns(source) && known.is_some_and(|one| one.successor.is_none());
