Say at the home of a key why an order did not run

Cause: the id of an order that ended as unknown led to one line without a reason; of all failed requests these are the ones whose callers ask. The home decides, and wrote nothing.

Change: request_key_decided names the decision, the age of the key, the revision and whether the view was confirmed, under the id of the request; the line at the balancer that the caller reached names the home.

Test first: the_id_of_an_unknown_order_leads_to_the_decision_of_its_home fails without the line.

--- a/crates/mulberrynotch_net/src/request/home.rs
+++ b/crates/mulberrynotch_net/src/request/home.rs
@@ -57,6 +57,7 @@
         digest_key,
         digest_request, //
     },
+    line,
     lock,
     peer,
     reply,
@@ -153,7 +154,11 @@
             return reply::retry(RETRY_AFTER);
         };
         if *home != *self.config.me {
-            let answer = self.forward(&home, &request, &parts, data, hops).await;
+            let began = self.now();
+            let mut answer = self.forward(&home, &request, &parts, data, hops).await;
+            let mut history = line::History::default();
+            history.add(&home, self.now().saturating_sub(began), "home");
+            answer.extensions_mut().insert(history);
             return guarded(answer, admitted);
         }
         let deadline = request.deadline;
@@ -210,8 +215,17 @@
     fn start(&self, run: &Run) -> Start {
         let (now, service, key) = (self.now(), run.request.service, run.key);
         let made = made_at(&run.parts, now);
-        self.with_keys(
-            |state| match state.policy.begin_made(now, service, key, run.digest, made) {
+        let view = self.view();
+        let line = line::Key {
+            headers: &run.parts.headers,
+            age: made.map(|made| now.saturating_sub(made)),
+            revision: view.register.revision,
+            confirmed: view.confirmed,
+        };
+        self.with_keys(|state| {
+            let begin = state.policy.begin_made(now, service, key, run.digest, made);
+            line.log(now, &begin);
+            match begin {
                 Begin::Pending(ticket) => {
                     let (sender, ready) = oneshot::channel();
                     state.waiting.insert(ticket, sender);
@@ -230,8 +244,8 @@
                 Begin::Mismatch => {
                     Start::Answer(reply::turned_away(StatusCode::UNPROCESSABLE_ENTITY, true))
                 }
-            },
-        )
+            }
+        })
     }
 
     /// Waits for the record to be stored, at most until the deadline.
--- a/crates/mulberrynotch_net/src/request/line.rs
+++ b/crates/mulberrynotch_net/src/request/line.rs
@@ -16,6 +16,8 @@
     Response, //
 };
 
+use mulberrynotch_policy::idempotency;
+
 use super::header::OUTCOME;
 use crate::event;
 
@@ -33,6 +35,7 @@
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 static EXCHANGES: event::Limiter = event::Limiter::with(LINES_PER_SECOND, SECOND_MS);
+static KEYS: event::Limiter = event::Limiter::with(LINES_PER_SECOND, SECOND_MS);
 static ENDS: event::Limiter = event::Limiter::with(LINES_PER_SECOND, SECOND_MS);
 
 /// Gives a request without a usable id one that names this process.
@@ -102,6 +105,46 @@
     EXCHANGES.warn(event::uptime(), "request_not_connected", &fields);
 }
 
+/// What the home of a key decided on.
+pub(super) struct Key<'a> {
+    /// Headers of the request.
+    pub(super) headers: &'a HeaderMap,
+    /// Time since the key was made, if the key tells.
+    pub(super) age: Option<Duration>,
+    /// Revision of the register in effect.
+    pub(super) revision: u64,
+    /// False while the view is not confirmed.
+    pub(super) confirmed: bool,
+}
+
+impl Key<'_> {
+    /// Logs a decision that keeps a request with a key from running here.
+    pub(super) fn log(&self, now: Duration, decision: &idempotency::Begin) {
+        let decision = match decision {
+            // Whoever takes a home over without its records cannot tell a new key from a resend.
+            idempotency::Begin::Unknown => "unknown",
+            idempotency::Begin::NotRun => "no_room",
+            idempotency::Begin::Retry => "not_certain",
+            idempotency::Begin::Mismatch => "other_request_under_the_key",
+            idempotency::Begin::Done { .. } => "ran_before",
+            idempotency::Begin::Pending(_)
+            | idempotency::Begin::Running
+            | idempotency::Begin::Elsewhere(_) => return,
+        };
+        let age = self
+            .age
+            .map_or_else(|| "-".to_owned(), |it| it.as_millis().to_string());
+        let fields: [event::Field<'_>; 5] = [
+            ("request", &id_of(self.headers)),
+            ("decision", &decision),
+            ("key_age_ms", &age),
+            ("revision", &self.revision),
+            ("confirmed", &self.confirmed),
+        ];
+        KEYS.warn(now, "request_key_decided", &fields);
+    }
+}
+
 /// What a request without an answer of a target was decided on.
 pub(super) struct End<'a> {
     /// Id of the request.
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -214,3 +214,32 @@
     world.answered(&workers, 5).await;
     assert_at_most_once(&world, &workers.report()).await
 }
+
+/// The value of a field in a line of a log.
+fn field<'a>(line: &'a str, key: &str) -> Option<&'a str> {
+    let found = line.split(' ').find_map(|it| it.strip_prefix(key));
+    found?.strip_prefix('=')
+}
+
+/// Guards against an order that ends as unknown and whose id leads to no cause in the logs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_id_of_an_unknown_order_leads_to_the_decision_of_its_home() -> io::Result<()> {
+    let world = World::start(605, &["orders"], 1, 1).await?;
+    // No home knows the keys of before its start.
+    let config = world.orders(0, "orders-early");
+    let _workers = Workers::start(&config, 2);
+    world
+        .until("an explained order", async || {
+            let decided = world.lines("event=request_key_decided").ok()?;
+            let ended = world.lines("event=request_unanswered").ok()?;
+            let decision = |id: &str| {
+                let line = decided.iter().find(|it| field(it, "request") == Some(id))?;
+                field(line, "decision")
+            };
+            let orders = ended.iter().filter(|it| field(it, "keyed") == Some("true"));
+            let mut decisions = orders.filter_map(|it| decision(field(it, "request")?));
+            decisions.any(|it| it == "unknown").then_some(())
+        })
+        .await;
+    Ok(())
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -279,6 +279,17 @@
         }
     }
 
+    /// Lines of an event in the logs of all balancers.
+    pub fn lines(&self, event: &str) -> io::Result<Vec<String>> {
+        let mut lines = Vec::new();
+        for name in self.site.balancers.keys() {
+            let log = std::fs::read_to_string(self.folder.join(format!("{name}.log")))?;
+            let found = log.lines().filter(|it| it.contains(event));
+            lines.extend(found.map(str::to_owned));
+        }
+        Ok(lines)
+    }
+
     /// What all targets of a service have seen.
     pub async fn counts(&self, service: &str) -> io::Result<Vec<(String, target::Counts)>> {
         let mut counts = Vec::new();
