Split the attempts of a request by job

The loop chose a target, sent, judged and answered in 80 lines; choosing and judging are functions of their own. Behaviour is as before: the tests of the crate pass.

--- a/crates/mulberrynotch_net/src/request/attempt.rs
+++ b/crates/mulberrynotch_net/src/request/attempt.rs
@@ -35,6 +35,32 @@
 /// When a caller may come back whose request had no attempt left.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// A target to try.
+struct Choice {
+    target: id::Target,
+    owner: Arc<str>,
+    /// True when the request may wait in the queue of the owner.
+    queue: bool,
+}
+
+/// An attempt without an answer for the caller.
+struct Failure {
+    outcome: Outcome,
+    /// For the log.
+    name: &'static str,
+    /// Answer of a target that shed the request, for when no other target runs it.
+    answer: Option<Box<Response<Body>>>,
+}
+
+/// The answer when no attempt is left.
+fn no_answer(trace: &Trace) -> Response<Body> {
+    if trace.may_have_run() {
+        reply::unknown()
+    } else {
+        reply::refused(RETRY_AFTER)
+    }
+}
+
 impl Service {
     /// Makes attempts until there is an answer or the deadline has passed; the trace tells
     /// whether a request without an answer may have run.
@@ -63,80 +89,112 @@
         upload: &Upload,
         trace: &Trace,
     ) -> Response<Body> {
-        let mut last = None;
-        let mut held = None;
-        let mut attempts = 0;
+        let (mut last, mut held, mut number) = (None, None, 0);
         let mut history = line::History::default();
-        let mut refusal = reply::refused(RETRY_AFTER);
-        while let Some(step) = admitted.next(last.take()) {
-            let (target, owner, queue) = match step {
-                Step::Try {
-                    target,
-                    owner,
-                    queue,
-                } => (target, owner, queue),
-                Step::Wait { until } => {
-                    time::sleep(self.remaining(until)).await;
-                    continue;
-                }
-                Step::Unknown => break,
-                Step::Refuse { .. } if trace.may_have_run() => break,
-                Step::Refuse { retry_after } => {
-                    refusal = reply::refused(retry_after);
-                    break;
-                }
+        let unanswered = loop {
+            let choice = match self.next_target(admitted, last.take(), trace).await {
+                Ok(choice) => choice,
+                Err(answer) => break answer,
             };
-            attempts += 1;
-            record::attempt(attempts);
+            number += 1;
+            record::attempt(number);
             let order = header::Attempt {
                 service: request.service,
-                target,
+                target: choice.target,
                 class: request.class,
-                queue,
+                queue: choice.queue,
                 remaining: self.remaining(request.deadline),
             };
             let began = self.now();
-            let attempted = self.attempt(&owner, &order, parts, upload, trace).await;
-            let took = self.now().saturating_sub(began);
-            last = match attempted {
-                Attempted::Answer(answer, free) => {
-                    lock(&self.entry).learn(self.now(), target, free);
-                    let shed = answer.status() == StatusCode::SERVICE_UNAVAILABLE;
-                    if !shed || !request.idempotent || upload.is_spent() {
-                        return *answer;
-                    }
-                    // The target shed a request that another may run.
-                    trace.unknown();
-                    history.add(&self.name_of(target), took, "shed");
-                    held = Some(*answer);
-                    Some(Outcome::Unknown)
-                }
-                Attempted::NotRun(busy) => {
-                    trace.not_run();
-                    let outcome = if busy { "busy" } else { "not-reached" };
-                    history.add(&self.name_of(target), took, outcome);
-                    Some(Outcome::NotRun { busy })
-                }
-                Attempted::Unknown => {
-                    trace.unknown();
-                    history.add(&self.name_of(target), took, "unknown");
-                    Some(Outcome::Unknown)
-                }
+            let attempt = self.attempt(&choice.owner, &order, parts, upload, trace);
+            let failure = match self.judge(attempt.await, &order, request, upload, trace) {
+                Ok(answer) => return answer,
+                Err(failure) => failure,
             };
+            let took = self.now().saturating_sub(began);
+            history.add(&self.name_of(choice.target), took, failure.name);
+            held = failure.answer.or(held);
+            last = Some(failure.outcome);
             let again = !trace.may_have_run() || request.idempotent;
             if upload.is_spent() || !again {
-                break;
+                break no_answer(trace);
             }
-        }
-        let mut answer = match held {
-            Some(answer) => answer,
-            None if trace.may_have_run() => reply::unknown(),
-            None => refusal,
         };
+        let mut answer = held.map_or(unanswered, |answer| *answer);
         answer.extensions_mut().insert(history);
         answer
     }
 
+    /// The next target of a request, after the outcome of the last attempt.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the answer for the caller when no attempt is left.
+    async fn next_target(
+        &self,
+        admitted: &mut Admitted,
+        mut last: Option<Outcome>,
+        trace: &Trace,
+    ) -> Result<Choice, Response<Body>> {
+        loop {
+            match admitted.next(last.take()) {
+                Some(Step::Try {
+                    target,
+                    owner,
+                    queue,
+                }) => {
+                    return Ok(Choice {
+                        target,
+                        owner,
+                        queue,
+                    });
+                }
+                Some(Step::Wait { until }) => time::sleep(self.remaining(until)).await,
+                Some(Step::Refuse { retry_after }) if !trace.may_have_run() => {
+                    return Err(reply::refused(retry_after));
+                }
+                Some(Step::Refuse { .. } | Step::Unknown) | None => return Err(no_answer(trace)),
+            }
+        }
+    }
+
+    /// The answer that an attempt brought for the caller.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none, or when another target may run a request that this one shed.
+    fn judge(
+        &self,
+        attempted: Attempted,
+        order: &header::Attempt,
+        request: &policy::Request,
+        upload: &Upload,
+        trace: &Trace,
+    ) -> Result<Response<Body>, Failure> {
+        let (outcome, name, answer) = match attempted {
+            Attempted::Answer(answer, free) => {
+                lock(&self.entry).learn(self.now(), order.target, free);
+                let shed = answer.status() == StatusCode::SERVICE_UNAVAILABLE;
+                if !shed || !request.idempotent || upload.is_spent() {
+                    return Ok(*answer);
+                }
+                (Outcome::Unknown, "shed", Some(answer))
+            }
+            Attempted::NotRun(true) => (Outcome::NotRun { busy: true }, "busy", None),
+            Attempted::NotRun(false) => (Outcome::NotRun { busy: false }, "not-reached", None),
+            Attempted::Unknown => (Outcome::Unknown, "unknown", None),
+        };
+        match outcome {
+            Outcome::NotRun { .. } => trace.not_run(),
+            Outcome::Unknown | Outcome::Answered { .. } => trace.unknown(),
+        }
+        Err(Failure {
+            outcome,
+            name,
+            answer,
+        })
+    }
+
     fn name_of(&self, target: id::Target) -> Arc<str> {
         let view = self.view();
         view.target(target)
--- a/crates/mulberrynotch_steer/src/pace.rs
+++ b/crates/mulberrynotch_steer/src/pace.rs
@@ -5,7 +5,7 @@
 /// Part of the link that answers may take: one in this many.
 const LINK_PART: u64 = 2;
 
-/// Bits in a byte, and microseconds in a second per megabit: bits over Mbit/s are microseconds.
+/// Bits in a byte. Bits divided by a bandwidth in Mbit/s are microseconds.
 const BITS: u64 = 8;
 
 /// Longest wait of an answer; its caller asks another peer soon after.
