--- a/crates/mulberrynotch_policy/src/budget.rs
+++ b/crates/mulberrynotch_policy/src/budget.rs
@@ -33,8 +33,9 @@
 const BURST_SECONDS: f64 = 2.0;
 
 /// Seconds of the rate that are saved while little is sent. Handover and redirects come in bursts,
-/// at a start and at a planned stop; what they lack of the rate costs broken flows, while the
-/// average over a minute stays within the rate.
+/// at a start and at a planned stop, and flows break while they wait. Whatever a burst takes has
+/// been left unused before, so the average since the start stays within the rate but for the first
+/// saving.
 const RESERVE_SECONDS: f64 = 30.0;
 
 /// Items that wait at most, per priority; the oldest is dropped first.
