Keep the time of a question to peers from overflowing after 49 days

The time went as a 32-bit number of milliseconds; from then on no question would have counted as answered, and no target been found dead.

--- a/crates/mulberrynotch_steer/src/machine/doubt.rs
+++ b/crates/mulberrynotch_steer/src/machine/doubt.rs
@@ -66,7 +66,8 @@
         let contact = self.evidence.contact_mut();
         contact.set_alone(peers.is_empty());
         if contact.ask(now) {
-            self.send(peers, message::Message::Ask(millis(Some(now))));
+            let now_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+            self.send(peers, message::Message::Ask(now_ms));
         }
     }
 
--- a/crates/mulberrynotch_steer/src/machine/heartbeat.rs
+++ b/crates/mulberrynotch_steer/src/machine/heartbeat.rs
@@ -68,7 +68,7 @@
                 self.send(vec![from], message::Message::Answer(asked_ms));
             }
             message::Message::Answer(asked_ms) => {
-                let asked_at = Duration::from_millis(asked_ms.into());
+                let asked_at = Duration::from_millis(asked_ms);
                 self.evidence.contact_mut().answered(now, asked_at);
             }
         }
--- a/crates/mulberrynotch_steer/src/message.rs
+++ b/crates/mulberrynotch_steer/src/message.rs
@@ -24,9 +24,9 @@
         /// A target makes progress.
         Alive(Alive),
         /// Asks for an [`Message::Answer`] at once; holds the sender's time, in milliseconds.
-        Ask(u32),
+        Ask(u64),
         /// Answer to a question, with the time that it held.
-        Answer(u32),
+        Answer(u64),
     }
 
     /// State of the sender.
--- a/crates/mulberrynotch_steer/tests/contact.rs
+++ b/crates/mulberrynotch_steer/tests/contact.rs
@@ -31,23 +31,23 @@
 /// Time that probes and answers take on a free link, in milliseconds.
 const FREE_LINK: u64 = 2;
 
-/// Runs a machine with one peer for a second, in which two flows of a target fail, its probes are
-/// silent and another target makes progress; answers of the peer take `answer_ms`. Returns the
-/// number of flows that were reset.
-fn resets(answer_ms: Option<u64>) -> usize {
+/// Runs a machine with one peer for a second from `start_ms` on, in which two flows of a target fail,
+/// its probes are silent and another target makes progress; answers of the peer take `answer_ms`.
+/// Returns the number of flows that were reset.
+fn resets(start_ms: u64, answer_ms: Option<u64>) -> usize {
     let targets = [7, 8].map(|id| target(id, id, entry("a")));
     let mut machine = machine(targets.into());
     let peer = fixture::member(2, "a");
     let from = peer.address;
     for port in [7, 107] {
-        machine.packet(at(0), &data(port, 7, 10, 9, 10));
-        machine.packet(at(1), &data(port, 7, 20, 19, 0));
-        machine.packet(at(1_000), &data(port, 7, 90_000, 19, 10));
+        machine.packet(at(start_ms), &data(port, 7, 10, 9, 10));
+        machine.packet(at(start_ms + 1), &data(port, 7, 20, 19, 0));
+        machine.packet(at(start_ms + 1_000), &data(port, 7, 90_000, 19, 10));
     }
     let mut count = 0;
-    let mut answers: Vec<(Duration, u32)> = Vec::new();
+    let mut answers = Vec::new();
     for step in (1_000..2_000).step_by(10) {
-        let now = at(step);
+        let now = at(start_ms + step);
         // What the peer sends arrives.
         let members = message::Message::Members(vec![peer.clone()]);
         machine.receive(now, from, members);
@@ -84,14 +84,22 @@
 /// packets still passed.
 #[test]
 fn a_balancer_that_its_peers_do_not_hear_at_once_resets_no_flow() {
-    assert_eq!(resets(None), 0);
-    assert_eq!(resets(Some(200)), 0);
+    assert_eq!(resets(0, None), 0);
+    assert_eq!(resets(0, Some(200)), 0);
 }
 
 /// Guards against flows that hang on a dead target because the balancer waits for its peers.
 #[test]
 fn a_balancer_that_its_peers_hear_resets_the_flows_of_a_dead_target() {
-    assert_eq!(resets(Some(FREE_LINK)), 2);
+    assert_eq!(resets(0, Some(FREE_LINK)), 2);
+}
+
+/// Guards against a time in the question that overflows after 49 days, from when on no target would be
+/// found dead.
+#[test]
+fn a_process_that_runs_for_months_still_resets_the_flows_of_a_dead_target() {
+    const SIXTY_DAYS_MS: u64 = 60 * 24 * 3_600 * 1_000;
+    assert_eq!(resets(SIXTY_DAYS_MS, Some(FREE_LINK)), 2);
 }
 
 /// Guards against an old answer that counts for long, and against a peer that is asked without end.
