Take the time after which refused callers return from one place

Cause: splitting the entry of requests left its constant of one second twice, beside a third one for keys.

Change: one constant serves all three; every value is as before.

--- a/crates/mulberrynotch_net/src/request/attempt.rs
+++ b/crates/mulberrynotch_net/src/request/attempt.rs
@@ -1,9 +1,6 @@
 //! Attempts of a request at the owners of targets.
 
-use std::{
-    sync::Arc,
-    time::Duration, //
-};
+use std::sync::Arc;
 
 use http::{
     Response,
@@ -24,6 +21,7 @@
     body::Body,
     exchange::Trace,
     header,
+    keys::RETRY_AFTER,
     line,
     lock,
     owner::Attempted,
@@ -32,9 +30,6 @@
     upload::Upload, //
 };
 
-/// When a caller may come back whose request had no attempt left.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// A target to try.
 struct Choice {
     target: id::Target,
--- a/crates/mulberrynotch_net/src/request/entry.rs
+++ b/crates/mulberrynotch_net/src/request/entry.rs
@@ -27,6 +27,7 @@
     Service,
     body::Body,
     header,
+    keys::RETRY_AFTER,
     line,
     record::Record,
     reply,
@@ -37,9 +38,6 @@
     }, //
 };
 
-/// When a caller may come back after its class had no capacity left.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 impl Service {
     /// Answers a request of a caller.
     pub(super) async fn serve_request(
--- a/crates/mulberrynotch_net/src/request/keys.rs
+++ b/crates/mulberrynotch_net/src/request/keys.rs
@@ -36,7 +36,8 @@
 /// Answers held at a time, in bytes.
 const MAX_ANSWERS: usize = 64 * 1_024 * 1_024;
 
-/// When a caller may come back after the home of its key could not run the request.
+/// When a caller may come back whose request was not run: its class had no capacity, no attempt was
+/// left, or the home of its key could not run it.
 pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// An answer that is held for resends.
