--- a/crates/mulberrynotch_net/src/steer/dump.rs
+++ b/crates/mulberrynotch_net/src/steer/dump.rs
@@ -1,5 +1,7 @@
 //! State of the process for operators.
 
+use std::time::Duration;
+
 use mulberrynotch_steer::{
     catalog,
     cookie,
@@ -45,6 +47,7 @@
                 "routes": catalog.configuration().routes.len(),
                 "zones_out": zones_out(catalog),
             },
+            "paths": paths(&machine, now),
             "targets": targets,
             "members": machine.fleet().live_anywhere(now).collect::<Vec<_>>(),
             "flows_seen": machine.flows(),
@@ -69,6 +72,10 @@
         for (name, count) in counts {
             metrics::counter!(name).absolute(count);
         }
+        let ready = f64::from(u8::from(machine.is_ready()));
+        metrics::gauge!("mulberrynotch_in_rotation").set(ready);
+        let cut = u32::try_from(machine.paths().cut().count()).unwrap_or(u32::MAX);
+        metrics::gauge!("mulberrynotch_cut_zones").set(f64::from(cut));
         let age = machine.age(now).unwrap_or(now);
         metrics::gauge!("mulberrynotch_register_age_seconds").set(age.as_secs_f64());
         let live = u32::try_from(machine.fleet().live_anywhere(now).count()).unwrap_or(u32::MAX);
@@ -76,6 +83,22 @@
     }
 }
 
+/// Beliefs on the paths to other zones, with what they rest on.
+pub(super) fn paths(machine: &machine::Machine, now: Duration) -> Vec<serde_json::Value> {
+    let beliefs = machine.paths().beliefs(now).into_iter();
+    let beliefs = beliefs.map(|it| {
+        json!({
+            "zone": it.zone,
+            "state": format!("{:?}", it.state),
+            "proven_ms": it.proven.map(millis),
+            "cut_ms": it.cut.map(millis),
+            "failed_targets": it.failed_targets,
+            "questions": it.questions,
+        })
+    });
+    beliefs.collect()
+}
+
 fn zones_out(catalog: &catalog::Catalog) -> Vec<std::sync::Arc<str>> {
     let zones = catalog.targets().map(|it| it.entry.zone.clone());
     let mut out: Vec<_> = zones.filter(|it| catalog.is_out(it)).collect();
--- a/crates/mulberrynotch_net/src/steer/line.rs
+++ b/crates/mulberrynotch_net/src/steer/line.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fmt,
+    net::SocketAddrV4,
     time::Duration, //
 };
 
@@ -27,6 +28,7 @@
 static FLOWS: event::Limiter = event::Limiter::with(FLOW_LINES_PER_SECOND, WINDOW_MS);
 static VERDICTS: event::Limiter = event::Limiter::with(BELIEF_LINES_PER_SECOND, WINDOW_MS);
 static TARGETS: event::Limiter = event::Limiter::with(BELIEF_LINES_PER_SECOND, WINDOW_MS);
+static PATHS: event::Limiter = event::Limiter::with(BELIEF_LINES_PER_SECOND, WINDOW_MS);
 static MEMBERS: event::Limiter = event::Limiter::with(BELIEF_LINES_PER_SECOND, WINDOW_MS);
 
 struct Flow(packet::Flow);
@@ -45,6 +47,18 @@
     }
 }
 
+/// Address of a peer, or a dash for this balancer itself.
+struct Peer(Option<SocketAddrV4>);
+
+impl fmt::Display for Peer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(address) => write!(f, "{address}"),
+            None => write!(f, "-"),
+        }
+    }
+}
+
 /// A duration in milliseconds, or a dash for one that is not known.
 struct Millis(Option<Duration>);
 
@@ -200,6 +214,42 @@
                 ("contact_ms", &Millis(*contact)),
             ],
         ),
+        Event::Path {
+            zone,
+            state,
+            told_by,
+            proven,
+            cut,
+            contact,
+        } => limited(
+            &PATHS,
+            now,
+            "zone_path",
+            &[
+                ("zone", zone),
+                ("state", &Name(state)),
+                ("told_by", &Peer(*told_by)),
+                ("proven_ms", &Millis(*proven)),
+                ("cut_ms", &Millis(*cut)),
+                ("contact_ms", &Millis(*contact)),
+            ],
+        ),
+        Event::Rotation {
+            ready,
+            isolated,
+            cut,
+            excluded,
+            dead,
+        } => event::warn(
+            "rotation",
+            &[
+                ("ready", ready),
+                ("isolated", isolated),
+                ("cut_zones", &cut.join(",")),
+                ("excluded_targets", excluded),
+                ("dead_targets", dead),
+            ],
+        ),
         Event::Changed { change, as_of } => write_change(now, change, *as_of),
         Event::StoreLost { age } => {
             event::warn("store_lost", &[("register_age_ms", &Millis(*age))]);
--- a/crates/mulberrynotch_net/src/steer/peer.rs
+++ b/crates/mulberrynotch_net/src/steer/peer.rs
@@ -28,7 +28,7 @@
 use crate::event;
 
 /// First byte of each message; the format is known by it, and changes with the messages.
-const FORMAT: u8 = 0x53;
+const FORMAT: u8 = 0x54;
 
 /// Longest datagram between balancers, in bytes; most are far shorter.
 const MAX_DATAGRAM: usize = 8_192;
--- a/crates/mulberrynotch_net/src/steer/route.rs
+++ b/crates/mulberrynotch_net/src/steer/route.rs
@@ -77,6 +77,7 @@
             "as_of": explanation.as_of,
             "register_age_ms": explanation.age.map(core::millis),
             "balancer": self.settings.name,
+            "paths": dump::paths(&machine, now),
             "candidates": candidates,
         }))
     }
--- a/crates/mulberrynotch_standin/src/emulator/world/balancer.rs
+++ b/crates/mulberrynotch_standin/src/emulator/world/balancer.rs
@@ -12,6 +12,7 @@
     machine,
     message,
     packet,
+    path,
     reader,
     record, //
 };
@@ -22,7 +23,10 @@
     Reply,
     World, //
 };
-use crate::emulator::store;
+use crate::emulator::{
+    report,
+    store, //
+};
 
 /// Period of the machines' clocks.
 const TICK: Duration = Duration::from_millis(30);
@@ -112,11 +116,37 @@
                 machine::Action::Pull { from, pull } => self.pull(index, from, &pull),
                 machine::Action::Probe { target, .. } => self.probe(index, start, target),
                 machine::Action::Reset { flow, .. } => self.reset(flow),
-                machine::Action::Latency(_) | machine::Action::Log(_) => {}
+                machine::Action::Log(event) => self.note(index, &event),
+                machine::Action::Latency(_) => {}
             }
         }
     }
 
+    /// Records changed beliefs.
+    fn note(&mut self, index: usize, event: &machine::Event) {
+        let at = self.since_load(self.now);
+        match event {
+            machine::Event::Path { zone, state, .. } => {
+                let to = (0..self.plan.zones).find(|it| format!("zone-{it}") == **zone);
+                self.report.paths.extend(to.map(|to| report::Path {
+                    at,
+                    from: self.balancers[index].zone,
+                    balancer: index,
+                    to,
+                    cut: *state == path::State::Cut,
+                }));
+            }
+            machine::Event::Rotation { ready, .. } => {
+                self.report.rotations.push(report::Rotation {
+                    at,
+                    balancer: index,
+                    ready: *ready,
+                });
+            }
+            _ => {}
+        }
+    }
+
     fn peer(&self, address: SocketAddrV4) -> Option<usize> {
         self.balancers.iter().position(|it| it.address == address)
     }
@@ -189,6 +219,7 @@
     }
 
     fn probe(&mut self, index: usize, start: u64, id: record::Id) {
+        self.report.probes += 1;
         let zone = self.balancers[index].zone;
         let target = self.targets.get(&id.0).filter(|it| !it.dark);
         let reached = target
@@ -222,7 +253,10 @@
                 let cookie = cookie.unwrap_or(packet.cookie);
                 self.forward(index, target.0, packet::Packet { cookie, ..packet });
             }
-            machine::Verdict::Reset => self.reset(packet.flow),
+            machine::Verdict::Reset => {
+                self.report.refused_flows += u64::from(packet.opens());
+                self.reset(packet.flow);
+            }
             machine::Verdict::Hold => self.balancers[index].held.push(packet),
             machine::Verdict::Drop => {}
         }
@@ -259,6 +293,7 @@
 
     fn reset(&mut self, flow: packet::Flow) {
         let lives = self.targets.values().any(|it| !it.dark && it.holds(&flow));
+        self.report.broken_flows += u64::from(lives);
         if lives && self.now > self.excused_until {
             self.report.false_resets += 1;
         }
@@ -273,6 +308,7 @@
         message::Message::Push(_) => "push",
         message::Message::Doubt(_) => "doubt",
         message::Message::Alive(_) => "alive",
+        message::Message::Path(_) => "path",
         message::Message::Ask(_) | message::Message::Answer(_) => "contact",
     }
 }
--- a/crates/mulberrynotch_steer/src/catalog.rs
+++ b/crates/mulberrynotch_steer/src/catalog.rs
@@ -188,6 +188,12 @@
         }
     }
 
+    /// True while a target runs as far as the register tells, whether it takes new flows or not.
+    pub fn target_lives(&self, now: Duration, target: &Target) -> bool {
+        let removed = target.removed_at.is_some() && now >= target.kept_until;
+        !target.ended && !removed
+    }
+
     /// True while a zone is out of service.
     pub fn is_out(&self, zone: &str) -> bool {
         self.zones.get(zone).is_some_and(|zone| zone.out)
--- a/crates/mulberrynotch_steer/src/choice.rs
+++ b/crates/mulberrynotch_steer/src/choice.rs
@@ -30,6 +30,8 @@
         Tried,
         /// It bears a trickle only.
         Cold,
+        /// Packets do not arrive in its zone.
+        Unreachable,
         /// It is believed to have ended.
         Dead,
         /// The register keeps new flows away from it.
--- a/crates/mulberrynotch_steer/src/contact.rs
+++ b/crates/mulberrynotch_steer/src/contact.rs
@@ -42,9 +42,19 @@
         self.alone = alone;
     }
 
-    /// True when a question is due; it counts as sent then.
+    /// True while there is no peer to ask.
+    pub fn is_alone(&self) -> bool {
+        self.alone
+    }
+
+    /// True when the pause since the last question is over.
+    pub fn is_due(&self, now: Duration) -> bool {
+        self.asked_at.is_none_or(|at| now >= at + PERIOD)
+    }
+
+    /// True when a question is due and there is a peer to ask; it counts as sent then.
     pub fn ask(&mut self, now: Duration) -> bool {
-        let due = !self.alone && self.asked_at.is_none_or(|at| now >= at + PERIOD);
+        let due = !self.alone && self.is_due(now);
         if due {
             self.asked_at = Some(now);
         }
--- a/crates/mulberrynotch_steer/src/evidence.rs
+++ b/crates/mulberrynotch_steer/src/evidence.rs
@@ -10,6 +10,8 @@
     time::Duration, //
 };
 
+use mulberrynotch_policy::rendezvous;
+
 use crate::{
     contact,
     record, //
@@ -21,6 +23,12 @@
 /// Longest time between two probes of a target in doubt.
 const LONGEST_DOUBT: Duration = Duration::from_millis(2_400);
 
+/// How much longer a balancer waits with another probe that does not probe the target for its zone.
+const LEFT_TO_OTHERS: u32 = 4;
+
+/// Share of a wait by which it varies, so that balancers do not probe together: one in this many.
+const JITTER_PART: u32 = 4;
+
 /// How long a doubt of a peer lasts whose probe failed; the peer repeats it after each probe.
 const PROBED_DOUBT: Duration = Duration::from_millis(2_800);
 
@@ -49,6 +57,9 @@
 /// Age up to which progress of other targets shows that this balancer is not cut off itself.
 const OWN_CONTACT: Duration = Duration::from_millis(500);
 
+/// Targets whose probes are silent while none answers, from which this balancer is cut off itself.
+const ISOLATED: usize = 3;
+
 /// Age up to which a failed probe counts.
 const PROBE_AGE: Duration = Duration::from_millis(3_000);
 
@@ -95,6 +106,8 @@
     pub flows: &'a [u32],
     /// True when a probe of the peer failed.
     pub probe_failed: bool,
+    /// True when this balancer carries flows of the target, or probes it for its zone.
+    pub concerned: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -127,6 +140,8 @@
     /// The target with the latest progress, and when; and the latest one of another target.
     latest: Option<(record::Id, Duration)>,
     second: Option<(record::Id, Duration)>,
+    /// When a target last accepted a probe.
+    accepted_at: Option<Duration>,
     contact: contact::Contact,
 }
 
@@ -276,7 +291,7 @@
             case.doubt_ends = case.doubt_ends.max(now + doubt);
         }
         // The verdict that a target is dead rests on own probes only.
-        let probe = told.probe_failed && case.wants_probe();
+        let probe = told.probe_failed && told.concerned && case.wants_probe();
         case.probing |= probe;
         self.judge(now, target);
         Some(self.response(target, before, probe, false))
@@ -290,6 +305,7 @@
         case.probed_at = Some(now);
         match outcome {
             Probe::Accepted => {
+                self.accepted_at = Some(now);
                 case.dead = false;
                 case.failed_probes = 0;
                 // One lost packet is no reason to wait for the end of the doubt.
@@ -335,27 +351,44 @@
     }
 
     /// Ends the doubts of peers whose time is over, and returns the targets whose own failures are
-    /// due for another probe.
-    pub fn due(&mut self, now: Duration) -> Vec<record::Id> {
+    /// due for another probe. Targets that are not `judged` stay as they are. Targets that this
+    /// balancer does not `probe` for its zone are left to those that do for longer, by a time that
+    /// `lot` varies.
+    pub fn due(
+        &mut self,
+        now: Duration,
+        judged: impl Fn(record::Id) -> bool,
+        probes: impl Fn(record::Id) -> bool,
+        lot: u64,
+    ) -> Vec<record::Id> {
         let over = |case: &Case| case.doubtful && !case.probing && now >= case.doubt_ends;
         let mut ids = Vec::new();
-        for (id, case) in self.cases.iter_mut().filter(|(_, case)| over(case)) {
+        let cases = self.cases.iter_mut();
+        for (id, case) in cases.filter(|(id, case)| over(case) && judged(**id)) {
             if !case.own && !case.dead {
                 case.doubtful = false;
                 continue;
             }
             case.probing = true;
             case.doubt = (case.doubt * 2).clamp(FIRST_DOUBT, LONGEST_DOUBT);
-            case.doubt_ends = now + case.doubt;
+            let wait = match probes(*id) {
+                true => case.doubt,
+                false => case.doubt * LEFT_TO_OTHERS,
+            };
+            case.doubt_ends = now + wait + jitter(wait, rendezvous::weight(lot, id.0));
             ids.push(*id);
         }
         ids
     }
 
     /// Targets in doubt whose silence has become long enough for the verdict that they are dead.
-    pub fn ripen(&mut self, now: Duration) -> Vec<record::Id> {
+    /// Targets that are not `judged` stay as they are.
+    pub fn ripen(&mut self, now: Duration, judged: impl Fn(record::Id) -> bool) -> Vec<record::Id> {
         let doubtful = self.cases.iter().filter(|(_, it)| it.doubtful && !it.dead);
-        let ids: Vec<_> = doubtful.map(|(id, _)| *id).collect();
+        let ids: Vec<_> = doubtful
+            .map(|(id, _)| *id)
+            .filter(|it| judged(*it))
+            .collect();
         ids.into_iter()
             .filter(|id| {
                 self.judge(now, *id);
@@ -372,6 +405,52 @@
         (before != Verdict::Good).then_some(before)
     }
 
+    /// Forgets the evidence against targets of `among` that began at `since` or later, and returns
+    /// those whose verdict was not good: something else than these targets failed.
+    pub fn forget_since(
+        &mut self,
+        since: Duration,
+        among: impl Fn(record::Id) -> bool,
+    ) -> Vec<record::Id> {
+        let began = |case: &Case| case.failing_since.is_some_and(|at| at >= since);
+        let cases = self.cases.iter();
+        let excused: Vec<_> = cases
+            .filter(|(id, case)| began(case) && among(**id))
+            .map(|(id, _)| *id)
+            .collect();
+        excused
+            .into_iter()
+            .filter(|id| self.forget(*id).is_some())
+            .collect()
+    }
+
+    /// True when nothing shows that this balancer reaches any target, and probes of several that are
+    /// `judged` show that it does not.
+    pub fn is_isolated(&self, now: Duration, judged: impl Fn(record::Id) -> bool) -> bool {
+        let latest = [self.latest.map(|(_, at)| at), self.accepted_at];
+        let reached = latest.into_iter().flatten().max();
+        if reached.is_some_and(|at| now.saturating_sub(at) < OWN_CONTACT) {
+            return false;
+        }
+        // Targets that failed before others answered have ended themselves.
+        let unreached =
+            |case: &Case| case.own && case.probe_failed(now) && case.failing_since > reached;
+        let cases = self.cases.iter();
+        let unreached = cases.filter(|(id, case)| unreached(case) && judged(**id));
+        unreached.count() >= ISOLATED
+    }
+
+    /// True when the link of this balancer works: peers answer at once, or targets outside of a
+    /// zone do where there is no peer.
+    pub fn is_in_touch(&self, now: Duration, elsewhere: impl Fn(record::Id) -> bool) -> bool {
+        if !self.contact.is_alone() {
+            return self.contact.is_proven(now);
+        }
+        let latest = [self.latest, self.second].into_iter().flatten();
+        let mut recent = latest.filter(|(_, at)| now.saturating_sub(*at) < OWN_CONTACT);
+        recent.any(|(id, _)| elsewhere(id))
+    }
+
     /// Forgets targets that are no longer known.
     pub fn retain(&mut self, known: impl Fn(record::Id) -> bool) {
         self.cases.retain(|id, _| known(*id));
@@ -406,6 +485,12 @@
     }
 }
 
+/// A part of a wait, drawn by `lot`.
+fn jitter(wait: Duration, lot: u64) -> Duration {
+    let percent = u32::try_from(lot % 100).unwrap_or(0);
+    wait * percent / (100 * JITTER_PART)
+}
+
 impl Response {
     fn none() -> Self {
         Self {
--- a/crates/mulberrynotch_steer/src/fleet.rs
+++ b/crates/mulberrynotch_steer/src/fleet.rs
@@ -181,6 +181,40 @@
             .map(|(address, _)| *address)
     }
 
+    /// Zone of a member.
+    pub fn zone_of(&self, address: SocketAddrV4) -> Option<&Arc<str>> {
+        self.members.get(&address).map(|it| &it.zone)
+    }
+
+    /// At most `most` members of another zone, drawn at random from the live ones; from all known
+    /// ones where none is live, since a partition makes them look dead.
+    pub fn sample_of(&mut self, now: Duration, zone: &str, most: usize) -> Vec<SocketAddrV4> {
+        let mut members: Vec<_> = self.live(now, zone).collect();
+        if members.is_empty() {
+            let known = self.members.iter().filter(|(_, it)| *it.zone == *zone);
+            members = known.map(|(address, _)| *address).collect();
+        }
+        self.sample(members, most)
+    }
+
+    /// At most `most` live members of the own zone, drawn at random.
+    pub fn sample_near(&mut self, now: Duration, most: usize) -> Vec<SocketAddrV4> {
+        let own_zone = self.me.zone.clone();
+        let near = self.live(now, &own_zone).collect();
+        self.sample(near, most)
+    }
+
+    /// True when the process is among the first `count` live members of its zone in the order that
+    /// `key` draws. Members with the same view agree without a message.
+    pub fn is_among(&self, now: Duration, key: u64, count: usize) -> bool {
+        let weight = |address: SocketAddrV4| rendezvous::address(address.into(), key);
+        let mine = weight(self.me.address);
+        let before = self
+            .live(now, &self.me.zone)
+            .filter(|it| weight(*it) > mine);
+        before.take(count).count() < count
+    }
+
     /// Place of the process among the live members of its zone, 0 for the one that reads the store
     /// for the others. Whoever reads also sends what it read to the zone: on a thin link that
     /// would delay the packets of clients for seconds, so members with more bandwidth come first.
--- a/crates/mulberrynotch_steer/src/lib.rs
+++ b/crates/mulberrynotch_steer/src/lib.rs
@@ -26,10 +26,12 @@
 pub mod pace;
 pub mod packet;
 pub mod patch;
+pub mod path;
 pub mod pause;
 pub mod ramp;
 pub mod reader;
 pub mod record;
+pub mod rotation;
 pub mod spread;
 
 /// The modules that most users of this crate import.
--- a/crates/mulberrynotch_steer/src/machine.rs
+++ b/crates/mulberrynotch_steer/src/machine.rs
@@ -6,7 +6,9 @@
 mod explain;
 mod fetch;
 mod heartbeat;
+mod partition;
 mod push;
+mod readiness;
 mod store;
 mod time;
 
@@ -37,9 +39,11 @@
     flow,
     message,
     packet,
+    path,
     ramp,
     reader,
-    record, //
+    record,
+    rotation, //
 };
 
 /// Age of the register up to which it is current enough to refuse a flow on its word.
@@ -153,6 +157,8 @@
     fleet: fleet::Fleet,
     catalog: catalog::Catalog,
     evidence: evidence::Table,
+    paths: path::Table,
+    rotation: rotation::Rotation,
     flows: flow::Table,
     load: choice::Load,
     ramp: ramp::Ramp,
@@ -178,6 +184,9 @@
     cleaned_at: Duration,
     /// Members of the own zone that were live at the last clean-up.
     live: BTreeSet<SocketAddrV4>,
+    rotation_checked_at: Duration,
+    /// When a target was last probed because this process reaches none.
+    sought_at: Duration,
 }
 
 impl Machine {
@@ -187,6 +196,8 @@
             fleet: fleet::Fleet::new(me, seeds, rendezvous::weight(random, 1)),
             catalog: catalog::Catalog::default(),
             evidence: evidence::Table::default(),
+            paths: path::Table::default(),
+            rotation: rotation::Rotation::default(),
             flows: flow::Table::default(),
             load: choice::Load::default(),
             ramp: ramp::Ramp::default(),
@@ -205,6 +216,8 @@
             heartbeat_at: Duration::ZERO,
             cleaned_at: Duration::ZERO,
             live: BTreeSet::new(),
+            rotation_checked_at: Duration::ZERO,
+            sought_at: Duration::ZERO,
         }
     }
 
@@ -215,7 +228,7 @@
 
     /// True while the process can serve new flows and is not stopping.
     pub fn is_ready(&self) -> bool {
-        self.catalog.is_usable() && !self.leaving
+        self.catalog.is_usable() && !self.rotation.is_away() && !self.leaving
     }
 
     /// True while packets wait for the register: after the start, and after a pause of the VM.
@@ -238,6 +251,11 @@
         &self.evidence
     }
 
+    /// What is believed of the paths to other zones.
+    pub fn paths(&self) -> &path::Table {
+        &self.paths
+    }
+
     /// The known balancers.
     pub fn fleet(&self) -> &fleet::Fleet {
         &self.fleet
--- a/crates/mulberrynotch_steer/src/machine/data.rs
+++ b/crates/mulberrynotch_steer/src/machine/data.rs
@@ -50,6 +50,9 @@
         };
         match self.choose(now, &service, packet) {
             Some(chosen) => self.send_opening(now, packet, chosen),
+            None if self.rotation.is_unnoticed(now) => {
+                self.refuse(now, packet, Reason::SteppedAside)
+            }
             None => self.refuse(now, packet, Reason::NoTarget),
         }
     }
@@ -135,6 +138,7 @@
         }
         match self.evidence.verdict(target.id) {
             evidence::Verdict::Dead => choice::Standing::Dead,
+            _ if self.paths.is_cut(&target.entry.zone) => choice::Standing::Unreachable,
             _ if self.is_cold(now, target) => choice::Standing::Cold,
             _ if tried.contains(&target.id) => choice::Standing::Tried,
             evidence::Verdict::Doubtful => choice::Standing::Doubtful,
@@ -213,21 +217,28 @@
             // The target that has its address now does not answer packets for another one.
             return self.reset(now, packet, id);
         }
+        let zone = target.entry.zone.clone();
         let observation = self.flows.carry(now, packet, id);
         if observation.starts_request {
             self.load.note(now, id);
         }
         if let Some(latency) = observation.answered_after {
             self.load.answered(id, latency);
+            self.note_arrival(now, &zone, now.saturating_sub(latency));
         }
         if let Some(latency) = observation.opened_after {
             self.actions.push(Action::Latency(latency));
+            self.note_arrival(now, &zone, now.saturating_sub(latency));
         }
         match observation.sign {
-            flow::Sign::Progress => self.note_progress(now, id),
+            flow::Sign::Progress => self.note_progress(now, id, &zone),
             flow::Sign::Repeat { since } => self.note_repeat(now, packet, id, since),
             flow::Sign::None => {}
         }
+        if packet.length > 0 && self.may_reset_into(now, &zone) {
+            self.flows.forget(&packet.flow);
+            return self.reset(now, packet, id);
+        }
         if self.evidence.verdict(id) == evidence::Verdict::Dead && !packet.flags.reset {
             return self.reset(now, packet, id);
         }
@@ -250,7 +261,10 @@
         Verdict::Reset
     }
 
-    fn note_progress(&mut self, now: Duration, target: record::Id) {
+    fn note_progress(&mut self, now: Duration, target: record::Id, zone: &Arc<str>) {
+        if *zone != self.fleet.me().zone {
+            self.paths.progress(now, zone);
+        }
         if self.evidence.progress(now, target).is_some() {
             self.log_verdict(now, target);
             self.tell_alive(now, target);
@@ -270,7 +284,21 @@
             waited: now.saturating_sub(since),
             silence: self.evidence.silence(now, target),
         });
-        let response = self.evidence.failed(now, target, since, hash(&packet.flow));
+        self.note_failure(now, target, since, &packet.flow);
+    }
+
+    /// Counts a packet that stayed unanswered against its target, or against the path to it.
+    fn note_failure(
+        &mut self,
+        now: Duration,
+        target: record::Id,
+        sent_at: Duration,
+        flow: &packet::Flow,
+    ) {
+        if self.note_failure_on_path(now, target, sent_at) {
+            return;
+        }
+        let response = self.evidence.failed(now, target, sent_at, hash(flow));
         self.respond(now, target, response);
     }
 
@@ -287,28 +315,37 @@
             } else {
                 self.load.answered(target, now.saturating_sub(sent_at));
             }
-            let flow = hash(&waiting.flow);
-            let response = self.evidence.failed(now, target, sent_at, flow);
-            self.respond(now, target, response);
+            self.note_failure(now, target, sent_at, &waiting.flow);
         }
     }
 
     /// Resets the open flows of a target that has ended, so that their clients try again at once.
     pub(super) fn reset_flows(&mut self, now: Duration, target: record::Id) {
         let silence = self.evidence.silence(now, target);
-        let failures = self.evidence.failures(target).len();
         for (flow, acknowledged) in self.flows.take(target) {
-            self.counters.reset += 1;
-            self.log(Event::Reset {
-                flow,
-                target,
-                silence,
-                failures,
-            });
-            self.actions.push(Action::Reset { flow, acknowledged });
+            self.reset_flow(flow, acknowledged, target, silence);
         }
     }
 
+    /// Resets an open flow without a packet of it at hand.
+    pub(super) fn reset_flow(
+        &mut self,
+        flow: packet::Flow,
+        acknowledged: u32,
+        target: record::Id,
+        silence: Duration,
+    ) {
+        let failures = self.evidence.failures(target).len();
+        self.counters.reset += 1;
+        self.log(Event::Reset {
+            flow,
+            target,
+            silence,
+            failures,
+        });
+        self.actions.push(Action::Reset { flow, acknowledged });
+    }
+
     pub(super) fn respond(
         &mut self,
         now: Duration,
@@ -351,7 +388,7 @@
     /// Refuses an opening packet: at once, or with silence while the register may be out of date.
     fn refuse(&mut self, now: Duration, packet: &packet::Packet, reason: Reason) -> Verdict {
         self.log_refusal(now, packet, reason);
-        if reason == Reason::RouteUncertain {
+        if matches!(reason, Reason::RouteUncertain | Reason::SteppedAside) {
             self.counters.withheld += 1;
             return Verdict::Drop;
         }
--- a/crates/mulberrynotch_steer/src/machine/doubt.rs
+++ b/crates/mulberrynotch_steer/src/machine/doubt.rs
@@ -13,6 +13,7 @@
 };
 use crate::{
     evidence,
+    fleet,
     message,
     record, //
 };
@@ -20,6 +21,10 @@
 /// Peers that are asked whether they hear this process; one of them may have ended.
 const ASKED_PEERS: usize = 2;
 
+/// Balancers of a zone that go on probing a target in doubt, drawn by a hash. Others probe it for
+/// the flows that they carry themselves.
+const PROBERS: usize = 3;
+
 impl Machine {
     pub(super) fn tell_doubt(&mut self, now: Duration, target: record::Id) {
         let doubt = message::Doubt {
@@ -52,9 +57,10 @@
         self.send_alive(now, peers, target);
     }
 
-    /// Asks peers whether they hear this process, while a target is in doubt here.
+    /// Asks peers whether they hear this process, while a target or a path is in doubt here.
     pub(super) fn check_contact(&mut self, now: Duration) {
-        if !self.evidence.is_undecided() {
+        let wanted = self.paths.is_troubled() || self.evidence.is_undecided();
+        if !self.evidence.contact().is_due(now) || !wanted {
             return;
         }
         let peers: Vec<_> = self
@@ -84,12 +90,17 @@
         let Some(target) = self.catalog.target(doubt.target) else {
             return;
         };
+        if self.paths.is_cut(&target.entry.zone) {
+            return;
+        }
         let near = doubt.zone == self.fleet.me().zone;
         let told = evidence::Told {
             same_way: near || doubt.zone == target.entry.zone,
             failing: Duration::from_millis(doubt.failing_ms.into()),
             flows: &doubt.flows,
             probe_failed: doubt.probe_failed,
+            concerned: self.flows.has_any(doubt.target)
+                || probes_for_zone(&self.fleet, now, doubt.target),
         };
         match self.evidence.told(now, doubt.target, &told) {
             Some(response) => self.respond(now, doubt.target, response),
@@ -111,7 +122,13 @@
 
     /// Takes in the outcome of a probe.
     pub fn probed(&mut self, now: Duration, target: record::Id, outcome: evidence::Probe) {
+        self.note_probe_on_path(now, target, outcome);
         let response = self.evidence.probed(now, target, outcome);
         self.respond(now, target, response);
     }
 }
+
+/// True when this balancer is one of the few of its zone that go on probing a target.
+pub(super) fn probes_for_zone(fleet: &fleet::Fleet, now: Duration, target: record::Id) -> bool {
+    fleet.is_among(now, target.0, PROBERS)
+}
--- a/crates/mulberrynotch_steer/src/machine/event.rs
+++ b/crates/mulberrynotch_steer/src/machine/event.rs
@@ -10,6 +10,7 @@
     catalog,
     evidence,
     packet,
+    path,
     record, //
 };
 
@@ -22,6 +23,9 @@
         NoRoute,
         /// The service has no target that takes new flows.
         NoTarget,
+        /// The service has no target that can be reached from this zone, and the routers are about
+        /// to send the copies of the packet to another one.
+        SteppedAside,
     }
 }
 
@@ -109,6 +113,34 @@
             /// Time since the latest question to a peer that was answered in time.
             contact: Option<Duration>,
         },
+        /// The belief on the path to a zone changed.
+        Path {
+            /// The zone.
+            zone: Arc<str>,
+            /// The new belief.
+            state: path::State,
+            /// Who told it; `None` for what this balancer found itself.
+            told_by: Option<SocketAddrV4>,
+            /// Time since a packet was known to arrive there.
+            proven: Option<Duration>,
+            /// Time since the latest cut began.
+            cut: Option<Duration>,
+            /// Time since the latest question to a peer of the own zone that was answered in time.
+            contact: Option<Duration>,
+        },
+        /// The balancer stepped aside, or returned.
+        Rotation {
+            /// True when it asks the routers for packets.
+            ready: bool,
+            /// True when it reaches no target itself.
+            isolated: bool,
+            /// Zones in which nothing arrives.
+            cut: Vec<Arc<str>>,
+            /// Number of targets that the register keeps new flows away from.
+            excluded: usize,
+            /// Number of targets that have ended by the evidence.
+            dead: usize,
+        },
         /// The register changed.
         Changed {
             /// What changed.
--- a/crates/mulberrynotch_steer/src/machine/heartbeat.rs
+++ b/crates/mulberrynotch_steer/src/machine/heartbeat.rs
@@ -33,6 +33,7 @@
             confirmed_ms: millis(self.age(now)),
             reader_ms: self.reader_ms(now),
             members: self.fleet.gossip(now),
+            paths: self.paths.words(now, &self.fleet.me().zone.clone()),
         }
     }
 
@@ -64,12 +65,12 @@
             message::Message::Push(push) => self.take_push(now, from, push),
             message::Message::Doubt(doubt) => self.take_doubt(now, from, &doubt),
             message::Message::Alive(alive) => self.take_alive(now, &alive),
+            message::Message::Path(path) => self.take_path(now, from, &path),
             message::Message::Ask(asked_ms) => {
                 self.send(vec![from], message::Message::Answer(asked_ms));
             }
             message::Message::Answer(asked_ms) => {
-                let asked_at = Duration::from_millis(asked_ms);
-                self.evidence.contact_mut().answered(now, asked_at);
+                self.take_answer(now, from, Duration::from_millis(asked_ms));
             }
         }
     }
@@ -81,6 +82,10 @@
         heartbeat: &message::Heartbeat,
     ) {
         self.fleet.heard(now, heartbeat);
+        for path in &heartbeat.paths {
+            self.take_path(now, from, path);
+        }
+        self.ask_back(now, from, &heartbeat.sender.zone);
         if heartbeat.joining && !self.leaving {
             self.introduce(now, from);
         }
--- a/crates/mulberrynotch_steer/src/machine/time.rs
+++ b/crates/mulberrynotch_steer/src/machine/time.rs
@@ -9,7 +9,9 @@
     CLEANING,
     CONFIRMATION,
     Event,
-    Machine, //
+    Machine,
+    doubt,
+    partition, //
 };
 use crate::record;
 
@@ -18,7 +20,9 @@
     pub fn tick(&mut self, now: Duration) {
         self.check_unanswered(now);
         self.check_contact(now);
+        self.check_paths(now);
         self.check_targets(now);
+        self.check_rotation(now);
         self.check_confirmation(now);
         self.call_store(now);
         self.catch_up(now);
@@ -31,10 +35,17 @@
     }
 
     pub(super) fn check_targets(&mut self, now: Duration) {
-        for target in self.evidence.due(now) {
+        // A cut explains the silence of the targets behind it.
+        let lot = self.draw();
+        let (catalog, paths, fleet) = (&self.catalog, &self.paths, &self.fleet);
+        let reached = |id| partition::is_reached(catalog, paths, id);
+        let probes = |id| doubt::probes_for_zone(fleet, now, id);
+        let due = self.evidence.due(now, reached, probes, lot);
+        let ripe = self.evidence.ripen(now, reached);
+        for target in due {
             self.probe(target);
         }
-        for target in self.evidence.ripen(now) {
+        for target in ripe {
             self.log_verdict(now, target);
             self.reset_flows(now, target);
         }
@@ -90,6 +101,7 @@
     pub fn paused(&mut self, now: Duration, length: Duration) {
         self.resumed_at = Some(now);
         self.reader.invalidate();
+        self.paths.drop_suspicions();
         self.log(Event::Paused { length });
         let peer = self.fleet.live_anywhere(now).next();
         if let Some(peer) = peer {
--- a/crates/mulberrynotch_steer/src/message.rs
+++ b/crates/mulberrynotch_steer/src/message.rs
@@ -23,6 +23,8 @@
         Doubt(Doubt),
         /// A target makes progress.
         Alive(Alive),
+        /// The path to a zone was cut, or works again.
+        Path(Path),
         /// Asks for an [`Message::Answer`] at once; holds the sender's time, in milliseconds.
         Ask(u64),
         /// Answer to a question, with the time that it held.
@@ -47,6 +49,20 @@
         pub reader_ms: u32,
         /// Some members that the sender knows.
         pub members: Vec<Member>,
+        /// Paths from the sender's zone that are cut, or were lately.
+        pub paths: Vec<Path>,
+    }
+
+    /// What is believed of the path from one zone to another.
+    pub struct Path {
+        /// Availability zone of the sender.
+        pub from: Arc<str>,
+        /// Availability zone that the path leads to.
+        pub to: Arc<str>,
+        /// True when packets arrive.
+        pub open: bool,
+        /// Time since a packet was known to arrive, or since none does, in milliseconds.
+        pub age_ms: u32,
     }
 
     /// A balancer.
--- /dev/null
+++ b/crates/mulberrynotch_steer/src/path.rs
@@ -0,0 +1,396 @@
+//! Whether packets reach the targets of other zones: one belief for each zone, shared by the
+//! balancers of the own one.
+//!
+//! A partition fails all targets behind it at once. Flows that fail there make the zone suspected;
+//! then balancers of that zone are asked for an answer, and the silence of several of them together
+//! with that of a target is taken for a cut. What was proven later than the cut began ends it, and
+//! beliefs of peers are merged by the same rule, so the order of messages does not matter.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::Duration, //
+};
+
+use crate::{
+    message,
+    record, //
+};
+
+/// Pause between two questions to balancers of a suspected zone; a path of any length inside a
+/// region passes a question and its answer in less.
+const PERIOD: Duration = Duration::from_millis(30);
+
+/// Questions that stay unanswered before a zone is taken for cut off.
+const QUESTIONS: u32 = 4;
+
+/// Targets and balancers of a zone that have to be silent together, one target at least.
+const WITNESSES: usize = 3;
+
+/// Time after which a suspicion that was not confirmed ends; another failure begins a new one.
+const LONGEST_SUSPICION: Duration = Duration::from_millis(600);
+
+/// Failed targets of a suspected zone that are told apart at most.
+const MAX_TARGETS: usize = 8;
+
+/// Pause between two questions to a zone that is cut off.
+const CUT_PERIOD: Duration = Duration::from_millis(100);
+
+/// Pause between two probes of targets in a zone that is cut off, which may live without a balancer
+/// of their zone.
+const PROBE_PERIOD: Duration = Duration::from_millis(600);
+
+/// Share of a pause by which it varies, so that probers do not act together: one in this many.
+const JITTER_PART: u32 = 4;
+
+/// Silence of a zone from which open flows into it are reset; longer than a loss and one
+/// retransmission.
+const PROVEN_SILENCE: Duration = Duration::from_millis(450);
+
+/// Probes of targets that fail before open flows into their zone are reset; one may meet a target
+/// that has ended.
+const PROOF_PROBES: u32 = 2;
+
+/// Time for which a former cut is told to peers, so that none goes on believing in it.
+const TOLD: Duration = Duration::from_secs(20);
+
+mulberrynotch_macros::value! {
+    /// What is believed of the path to a zone.
+    pub enum State {
+        /// Packets arrive, as far as is known.
+        Open,
+        /// Flows fail, and balancers of the zone have been asked.
+        Suspected,
+        /// Nothing arrives.
+        Cut,
+    }
+}
+
+/// What a suspicion rests on.
+#[derive(Clone, Debug)]
+struct Suspicion {
+    since: Duration,
+    /// Targets that did not answer.
+    targets: Vec<record::Id>,
+    /// Questions sent, and the most balancers that one of them went to.
+    questions: u32,
+    asked: usize,
+    asked_at: Option<Duration>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Path {
+    /// Latest time at which a packet is known to have arrived in the zone.
+    proven_at: Option<Duration>,
+    /// Latest time from which on nothing arrived.
+    cut_at: Option<Duration>,
+    /// When a target of the zone last made progress as seen here.
+    progress_at: Option<Duration>,
+    suspicion: Option<Suspicion>,
+    asked_at: Option<Duration>,
+    probed_at: Option<Duration>,
+    /// Probes of this balancer that did not reach a target during the cut.
+    failed_probes: u32,
+}
+
+impl Path {
+    fn is_cut(&self) -> bool {
+        self.cut_at > self.proven_at
+    }
+
+    /// The latest word on the path, for peers; `None` unless there was a cut.
+    fn word(&self) -> Option<(bool, Duration)> {
+        let cut_at = self.cut_at?;
+        let proven_at = self.proven_at.filter(|_| !self.is_cut());
+        Some((proven_at.is_some(), proven_at.unwrap_or(cut_at)))
+    }
+}
+
+mulberrynotch_macros::data! {
+    /// A changed belief.
+    #[derive(Copy)]
+    pub enum Change {
+        /// Nothing arrives in the zone any more.
+        Cut,
+        /// Packets arrive again.
+        Opened,
+    }
+
+    /// What a word of a peer led to.
+    #[derive(Copy)]
+    pub enum Merge {
+        /// The belief changed.
+        Changed(Change),
+        /// It was known.
+        Known,
+        /// More recent proof speaks against it.
+        Outdated,
+    }
+
+    /// What a belief rests on, for operators.
+    pub struct Belief {
+        /// The zone.
+        pub zone: Arc<str>,
+        /// The belief.
+        pub state: State,
+        /// Time since a packet is known to have arrived.
+        pub proven: Option<Duration>,
+        /// Time since the latest cut began.
+        pub cut: Option<Duration>,
+        /// Targets whose silence a suspicion rests on.
+        pub failed_targets: usize,
+        /// Unanswered questions of a suspicion.
+        pub questions: u32,
+    }
+}
+
+/// Beliefs on the paths from the own zone.
+#[derive(Debug, Default)]
+pub struct Table {
+    paths: BTreeMap<Arc<str>, Path>,
+}
+
+impl Table {
+    /// The belief on the path to a zone.
+    pub fn state(&self, zone: &str) -> State {
+        match self.paths.get(zone) {
+            Some(path) if path.is_cut() => State::Cut,
+            Some(path) if path.suspicion.is_some() => State::Suspected,
+            _ => State::Open,
+        }
+    }
+
+    /// True while nothing arrives in a zone.
+    pub fn is_cut(&self, zone: &str) -> bool {
+        self.state(zone) == State::Cut
+    }
+
+    /// True while a path is suspected or cut.
+    pub fn is_troubled(&self) -> bool {
+        let mut paths = self.paths.values();
+        paths.any(|it| it.is_cut() || it.suspicion.is_some())
+    }
+
+    /// Zones in which nothing arrives.
+    pub fn cut(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.paths
+            .iter()
+            .filter(|(_, path)| path.is_cut())
+            .map(|(zone, _)| zone)
+    }
+
+    /// When the latest cut of a zone began.
+    pub fn last_cut(&self, zone: &str) -> Option<Duration> {
+        self.paths.get(zone)?.cut_at
+    }
+
+    /// Time since the cut of a zone began.
+    pub fn cut_age(&self, now: Duration, zone: &str) -> Option<Duration> {
+        let path = self.paths.get(zone).filter(|it| it.is_cut())?;
+        path.cut_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// True when open flows into a zone may be reset: it is cut off, this balancer's own probes did
+    /// not get there, and no target of it has made progress for longer than a retransmission takes.
+    pub fn is_proven_cut(&self, now: Duration, zone: &str) -> bool {
+        let silent = |at: Duration| now.saturating_sub(at) >= PROVEN_SILENCE;
+        let path = self.paths.get(zone).filter(|it| it.is_cut());
+        path.is_some_and(|it| {
+            let probed = it.failed_probes >= PROOF_PROBES;
+            probed && it.progress_at.is_none_or(silent) && it.cut_at.is_some_and(silent)
+        })
+    }
+
+    /// Notes that a probe of this balancer did not reach a target of a zone.
+    pub fn probe_failed(&mut self, zone: &str) {
+        if let Some(path) = self.paths.get_mut(zone).filter(|it| it.is_cut()) {
+            path.failed_probes = path.failed_probes.saturating_add(1);
+        }
+    }
+
+    /// Notes that a packet for a target of a zone, sent at `sent_at`, stayed unanswered.
+    pub fn failed(
+        &mut self,
+        now: Duration,
+        zone: &Arc<str>,
+        target: record::Id,
+        sent_at: Duration,
+    ) {
+        let path = self.paths.entry(zone.clone()).or_default();
+        if path.is_cut() || path.proven_at.is_some_and(|at| at > sent_at) {
+            return;
+        }
+        let suspicion = path.suspicion.get_or_insert_with(|| Suspicion::new(now));
+        if suspicion.targets.len() < MAX_TARGETS && !suspicion.targets.contains(&target) {
+            suspicion.targets.push(target);
+        }
+    }
+
+    /// Notes that a packet sent at `at` has arrived in a zone.
+    pub fn proven(&mut self, zone: &Arc<str>, at: Duration) -> Option<Change> {
+        let path = self.paths.entry(zone.clone()).or_default();
+        let was_cut = path.is_cut();
+        path.proven_at = path.proven_at.max(Some(at));
+        path.suspicion = path.suspicion.take().filter(|it| it.since > at);
+        if !path.is_cut() {
+            path.failed_probes = 0;
+        }
+        (was_cut && !path.is_cut()).then_some(Change::Opened)
+    }
+
+    /// Notes that a target of a zone made progress, whichever packet it answers.
+    pub fn progress(&mut self, now: Duration, zone: &Arc<str>) {
+        let path = self.paths.entry(zone.clone()).or_default();
+        path.progress_at = Some(now);
+    }
+
+    /// Takes in the belief of a peer of the own zone.
+    pub fn told(&mut self, zone: &Arc<str>, open: bool, at: Duration) -> Merge {
+        if open {
+            return match self.proven(zone, at) {
+                Some(change) => Merge::Changed(change),
+                None if self.is_cut(zone) => Merge::Outdated,
+                None => Merge::Known,
+            };
+        }
+        let path = self.paths.entry(zone.clone()).or_default();
+        let was_cut = path.is_cut();
+        if path.proven_at >= Some(at) {
+            return Merge::Outdated;
+        }
+        path.cut_at = path.cut_at.max(Some(at));
+        path.suspicion = None;
+        match was_cut {
+            true => Merge::Known,
+            false => Merge::Changed(Change::Cut),
+        }
+    }
+
+    /// What peers are told of the path to a zone.
+    pub fn word(&self, now: Duration, own: &Arc<str>, zone: &Arc<str>) -> Option<message::Path> {
+        let (open, at) = self.paths.get(zone)?.word()?;
+        let age = now.saturating_sub(at).as_millis();
+        Some(message::Path {
+            from: own.clone(),
+            to: zone.clone(),
+            open,
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// What heartbeats tell: the cuts, and those that ended lately.
+    pub fn words(&self, now: Duration, own: &Arc<str>) -> Vec<message::Path> {
+        let recent = |path: &Path| {
+            let cut_at = path.cut_at;
+            path.is_cut() || cut_at.is_some_and(|at| now.saturating_sub(at) < TOLD)
+        };
+        let zones = self.paths.iter().filter(|(_, path)| recent(path));
+        zones
+            .filter_map(|(zone, _)| self.word(now, own, zone))
+            .collect()
+    }
+
+    /// Zones of which balancers are to be asked now because they are suspected.
+    pub fn questions(&self, now: Duration) -> Vec<Arc<str>> {
+        let due = |it: &Suspicion| {
+            it.questions < QUESTIONS && it.asked_at.is_none_or(|at| now >= at + PERIOD)
+        };
+        let paths = self.paths.iter();
+        paths
+            .filter(|(_, path)| path.suspicion.as_ref().is_some_and(due))
+            .map(|(zone, _)| zone.clone())
+            .collect()
+    }
+
+    /// Notes that `count` balancers of a suspected zone were asked.
+    pub fn asked(&mut self, now: Duration, zone: &str, count: usize) {
+        let path = self.paths.get_mut(zone);
+        if let Some(suspicion) = path.and_then(|it| it.suspicion.as_mut()) {
+            suspicion.questions += 1;
+            suspicion.asked = suspicion.asked.max(count);
+            suspicion.asked_at = Some(now);
+        }
+    }
+
+    /// Decides on suspicions whose questions stayed unanswered; `in_touch` is false when the link of
+    /// this balancer may be what fails. Returns the zones that are taken for cut off.
+    pub fn decide(&mut self, now: Duration, in_touch: bool) -> Vec<Arc<str>> {
+        let mut cut = Vec::new();
+        for (zone, path) in &mut self.paths {
+            let Some(suspicion) = &path.suspicion else {
+                continue;
+            };
+            if in_touch && suspicion.is_confirmed(now) {
+                path.cut_at = Some(suspicion.since);
+                path.suspicion = None;
+                cut.push(zone.clone());
+            } else if now >= suspicion.since + LONGEST_SUSPICION {
+                path.suspicion = None;
+            }
+        }
+        cut
+    }
+
+    /// Ends all suspicions: after a pause of the VM, answers may have waited unread.
+    pub fn drop_suspicions(&mut self) {
+        for path in self.paths.values_mut() {
+            path.suspicion = None;
+        }
+    }
+
+    /// True when a balancer of a zone that is cut off is to be asked again; it counts as asked then.
+    /// `lot` varies the pause.
+    pub fn ask_cut(&mut self, now: Duration, zone: &str, lot: u64) -> bool {
+        let path = self.paths.get_mut(zone).filter(|it| it.is_cut());
+        path.is_some_and(|it| is_due(&mut it.asked_at, now, CUT_PERIOD, lot))
+    }
+
+    /// True when a target of a zone that is cut off is to be probed; it counts as probed then.
+    pub fn probe_cut(&mut self, now: Duration, zone: &str, lot: u64) -> bool {
+        let path = self.paths.get_mut(zone).filter(|it| it.is_cut());
+        path.is_some_and(|it| is_due(&mut it.probed_at, now, PROBE_PERIOD, lot))
+    }
+
+    /// The beliefs and what they rest on.
+    pub fn beliefs(&self, now: Duration) -> Vec<Belief> {
+        let age = |at: Option<Duration>| at.map(|at| now.saturating_sub(at));
+        let beliefs = self.paths.iter().map(|(zone, path)| Belief {
+            zone: zone.clone(),
+            state: self.state(zone),
+            proven: age(path.proven_at),
+            cut: age(path.cut_at),
+            failed_targets: path.suspicion.as_ref().map_or(0, |it| it.targets.len()),
+            questions: path.suspicion.as_ref().map_or(0, |it| it.questions),
+        });
+        beliefs.collect()
+    }
+}
+
+impl Suspicion {
+    fn new(now: Duration) -> Self {
+        Self {
+            since: now,
+            targets: Vec::new(),
+            questions: 0,
+            asked: 0,
+            asked_at: None,
+        }
+    }
+
+    fn is_confirmed(&self, now: Duration) -> bool {
+        let waited = self.asked_at.is_some_and(|at| now >= at + PERIOD);
+        let witnesses = self.targets.len() + self.asked;
+        self.questions >= QUESTIONS && waited && witnesses >= WITNESSES
+    }
+}
+
+/// True when a pause since `last` is over; it begins anew then.
+fn is_due(last: &mut Option<Duration>, now: Duration, pause: Duration, lot: u64) -> bool {
+    let steps = u32::try_from(lot % 100).unwrap_or(0);
+    let pause = pause + pause * steps / (100 * JITTER_PART);
+    let due = last.is_none_or(|at| now >= at + pause);
+    if due {
+        *last = Some(now);
+    }
+    due
+}
--- /dev/null
+++ b/crates/mulberrynotch_steer/src/rotation.rs
@@ -0,0 +1,48 @@
+//! Whether a balancer asks the routers for packets: it steps aside while it can serve no new flow,
+//! so that its zone's clients go to balancers that can.
+
+use std::time::Duration;
+
+/// Time for which a balancer has to be able to serve again before it returns, so that a path that
+/// comes and goes does not move the clients each time.
+const RETURN: Duration = Duration::from_millis(300);
+
+/// Time in which the routers notice that a balancer steps aside: two checks, half a second apart.
+pub const NOTICED: Duration = Duration::from_millis(1_300);
+
+/// State of one balancer.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rotation {
+    away_since: Option<Duration>,
+    serves_since: Option<Duration>,
+}
+
+impl Rotation {
+    /// Notes whether new flows can be served; returns whether the balancer is in rotation, when that
+    /// changed.
+    pub fn update(&mut self, now: Duration, serves: bool) -> Option<bool> {
+        if !serves {
+            self.serves_since = None;
+            let left = self.away_since.is_none();
+            self.away_since.get_or_insert(now);
+            return left.then_some(false);
+        }
+        let since = *self.serves_since.get_or_insert(now);
+        let returns = self.away_since.is_some() && now >= since + RETURN;
+        if returns {
+            self.away_since = None;
+        }
+        returns.then_some(true)
+    }
+
+    /// True while the balancer has stepped aside.
+    pub fn is_away(&self) -> bool {
+        self.away_since.is_some()
+    }
+
+    /// True while the routers may not have noticed that the balancer stepped aside.
+    pub fn is_unnoticed(&self, now: Duration) -> bool {
+        let since = self.away_since;
+        since.is_some_and(|at| now.saturating_sub(at) < NOTICED)
+    }
+}
--- /dev/null
+++ b/crates/mulberrynotch_steer/tests/path.rs
@@ -0,0 +1,207 @@
+//! Beliefs on the paths to other zones: what makes and ends them, and what must not.
+
+mod fixture;
+
+use std::sync::Arc;
+
+use fixture::{
+    at,
+    ms, //
+};
+use mulberrynotch_steer::{
+    path::{
+        Change,
+        Merge,
+        State,
+        Table, //
+    },
+    record::Id, //
+};
+use quickcheck::{
+    Gen,
+    QuickCheck, //
+};
+
+const SEED: u64 = 20_261_204;
+
+/// Time within which a cut is to be known, and its end.
+const LIMIT: u64 = 300;
+
+fn zone() -> Arc<str> {
+    Arc::from("b")
+}
+
+/// Fails one target at 60 ms, then asks `balancers` of the zone as often as the table wants to,
+/// until `until`; returns when the zone was taken for cut off.
+fn suspect(table: &mut Table, balancers: usize, in_touch: bool, until: u64) -> Option<u64> {
+    table.failed(at(60), &zone(), Id(7), at(0));
+    for now in (60..until).step_by(30) {
+        for asked in table.questions(at(now)) {
+            table.asked(at(now), &asked, balancers);
+        }
+        if !table.decide(at(now), in_touch).is_empty() {
+            return Some(now);
+        }
+    }
+    None
+}
+
+/// A table that believes in a cut.
+fn cut() -> Table {
+    let mut table = Table::default();
+    assert!(suspect(&mut table, 2, true, 1_000).is_some());
+    table
+}
+
+/// Guards against flows that go on being sent into a cut for seconds.
+#[test]
+fn silent_balancers_and_a_silent_target_are_a_cut_within_300_ms() {
+    let mut table = Table::default();
+    let known = suspect(&mut table, 2, true, 1_000);
+    assert!(known.is_some_and(|it| it <= LIMIT), "{known:?}");
+    assert!(table.is_cut("b") && !table.is_cut("c"));
+}
+
+/// Guards against a lost packet that is taken for a cut.
+#[test]
+fn one_answer_ends_a_suspicion() {
+    let mut table = Table::default();
+    table.failed(at(60), &zone(), Id(7), at(0));
+    assert_eq!(table.state("b"), State::Suspected);
+    table.proven(&zone(), at(60));
+    assert_eq!(table.state("b"), State::Open);
+    assert!(table.questions(at(70)).is_empty());
+}
+
+/// Guards against a failure that is older than the last proof: the packet was lost alone.
+#[test]
+fn a_failure_before_the_last_proof_is_none() {
+    let mut table = Table::default();
+    table.proven(&zone(), at(50));
+    table.failed(at(60), &zone(), Id(7), at(0));
+    assert_eq!(table.state("b"), State::Open);
+}
+
+/// Guards against a balancer with a bad link that speaks for its zone.
+#[test]
+fn a_balancer_that_is_not_in_touch_decides_nothing() {
+    let mut table = Table::default();
+    assert_eq!(suspect(&mut table, 2, false, 1_000), None);
+    assert_eq!(table.state("b"), State::Open);
+}
+
+/// Guards against a single dark target that closes a zone of which no balancer is known.
+#[test]
+fn without_balancers_several_targets_have_to_be_silent() {
+    let mut table = Table::default();
+    assert_eq!(suspect(&mut table, 0, true, 1_000), None);
+    let mut table = Table::default();
+    for id in [8, 9] {
+        table.failed(at(60), &zone(), Id(id), at(0));
+    }
+    assert!(suspect(&mut table, 0, true, 1_000).is_some());
+}
+
+/// Guards against a zone whose balancers have ended while its targets live: progress of one of them
+/// opens the path.
+#[test]
+fn a_target_that_answers_disproves_a_cut() {
+    let mut table = cut();
+    assert_eq!(table.proven(&zone(), at(60)), Some(Change::Opened));
+    assert_eq!(table.state("b"), State::Open);
+}
+
+/// Guards against resets of open flows on suspicion: the own probes have to fail too.
+#[test]
+fn flows_are_reset_only_after_own_probes_failed() {
+    let mut table = cut();
+    assert!(!table.is_proven_cut(at(900), "b"));
+    table.probe_failed("b");
+    assert!(!table.is_proven_cut(at(900), "b"));
+    table.probe_failed("b");
+    assert!(!table.is_proven_cut(at(300), "b"), "too early");
+    assert!(table.is_proven_cut(at(900), "b"));
+    table.progress(at(880), &zone());
+    assert!(!table.is_proven_cut(at(900), "b"), "a target made progress");
+}
+
+/// Guards against proof of a former cut that counts in the next one.
+#[test]
+fn a_new_cut_needs_new_probes() {
+    let mut table = cut();
+    table.probe_failed("b");
+    table.probe_failed("b");
+    table.proven(&zone(), at(2_000));
+    assert_eq!(
+        table.told(&zone(), false, at(3_000)),
+        Merge::Changed(Change::Cut)
+    );
+    assert!(!table.is_proven_cut(at(5_000), "b"));
+}
+
+/// Guards against a late word of a peer that brings back a cut which has ended.
+#[test]
+fn an_outdated_word_changes_nothing() {
+    let mut table = cut();
+    table.proven(&zone(), at(500));
+    assert_eq!(table.told(&zone(), false, at(400)), Merge::Outdated);
+    assert_eq!(table.state("b"), State::Open);
+    assert_eq!(
+        table.told(&zone(), false, at(600)),
+        Merge::Changed(Change::Cut)
+    );
+    assert_eq!(table.told(&zone(), true, at(550)), Merge::Outdated);
+}
+
+/// Guards against balancers that disagree after they heard the same words in another order.
+#[test]
+fn the_order_of_words_does_not_matter() {
+    fn holds(words: Vec<(u8, bool)>, swaps: Vec<(u8, u8)>) -> bool {
+        let mut shuffled = words.clone();
+        for (one, other) in swaps {
+            if !shuffled.is_empty() {
+                let length = shuffled.len();
+                shuffled.swap(usize::from(one) % length, usize::from(other) % length);
+            }
+        }
+        let state = |words: &[(u8, bool)]| {
+            let mut table = Table::default();
+            for (time, open) in words {
+                table.told(&zone(), *open, at(u64::from(*time)));
+            }
+            table.is_cut("b")
+        };
+        state(&words) == state(&shuffled)
+    }
+    let generator = Gen::from_size_and_seed(40, SEED);
+    QuickCheck::new()
+        .rng(generator)
+        .tests(2_000)
+        .quickcheck(holds as fn(Vec<(u8, bool)>, Vec<(u8, u8)>) -> bool);
+}
+
+/// Guards against questions at the pace of the clock, and probers that act in step.
+#[test]
+fn a_cut_is_looked_at_in_steps_that_vary() {
+    let asked = |lot: u64| {
+        let mut table = cut();
+        let times = (1_000..2_000).filter(|now| table.ask_cut(at(*now), "b", lot));
+        times.collect::<Vec<_>>()
+    };
+    assert!(asked(0).len() <= 10, "{:?}", asked(0));
+    assert!(asked(99).len() >= 7, "{:?}", asked(99));
+    assert_ne!(asked(0), asked(99));
+}
+
+/// Guards against a process that joins and believes in a cut that its peers know to be over: both
+/// words are told for a while.
+#[test]
+fn a_former_cut_is_told_for_a_while() {
+    let own = Arc::from("a");
+    let mut table = cut();
+    assert!(!table.words(at(1_000), &own)[0].open);
+    table.proven(&zone(), at(2_000));
+    let words = table.words(at(2_500), &own);
+    assert!(words[0].open && words[0].age_ms == 500);
+    assert!(table.words(at(2_000) + ms(60_000), &own).is_empty());
+}
--- /dev/null
+++ b/crates/mulberrynotch_steer/tests/rotation.rs
@@ -0,0 +1,34 @@
+//! When a balancer steps aside, and when it returns.
+
+mod fixture;
+
+use fixture::at;
+use mulberrynotch_steer::rotation::Rotation;
+
+/// Guards against clients that are sent to a balancer which serves nothing.
+#[test]
+fn a_balancer_steps_aside_at_once() {
+    let mut rotation = Rotation::default();
+    assert_eq!(rotation.update(at(0), true), None);
+    assert_eq!(rotation.update(at(100), false), Some(false));
+    assert!(rotation.is_away() && rotation.is_unnoticed(at(1_300)));
+    assert_eq!(rotation.update(at(200), false), None);
+    assert!(
+        !rotation.is_unnoticed(at(1_500)),
+        "the routers know by then"
+    );
+}
+
+/// Guards against clients that move with each step of a path that comes and goes.
+#[test]
+fn a_balancer_returns_once_it_has_served_for_a_while() {
+    let mut rotation = Rotation::default();
+    rotation.update(at(0), false);
+    for now in [1_000, 1_200, 1_400] {
+        assert_eq!(rotation.update(at(now), true), None);
+        assert_eq!(rotation.update(at(now + 100), false), None);
+    }
+    assert_eq!(rotation.update(at(2_000), true), None);
+    assert_eq!(rotation.update(at(2_300), true), Some(true));
+    assert!(!rotation.is_away());
+}
