--- a/crates/mulberrynotch_standin/src/emulator/report.rs
+++ b/crates/mulberrynotch_standin/src/emulator/report.rs
@@ -48,6 +48,44 @@
     pub messages: u64,
     /// Messages and their bytes, by kind.
     pub control: BTreeMap<&'static str, Volume>,
+    /// Flows that targets opened.
+    pub flows: u64,
+    /// Open flows that were reset, whether their target lived or not.
+    pub broken_flows: u64,
+    /// New flows that balancers refused.
+    pub refused_flows: u64,
+    /// Connection attempts of balancers to targets.
+    pub probes: u64,
+    /// Changed beliefs on paths, in the order of time.
+    pub paths: Vec<Path>,
+    /// Balancers that stepped aside or returned, in the order of time.
+    pub rotations: Vec<Rotation>,
+}
+
+/// A changed belief of a balancer on the path to a zone.
+#[derive(Clone, Copy, Debug)]
+pub struct Path {
+    /// When.
+    pub at: Duration,
+    /// Zone of the balancer.
+    pub from: usize,
+    /// Number of the balancer.
+    pub balancer: usize,
+    /// Zone that the path leads to.
+    pub to: usize,
+    /// True when nothing arrives there any more.
+    pub cut: bool,
+}
+
+/// A balancer that stepped aside or returned.
+#[derive(Clone, Copy, Debug)]
+pub struct Rotation {
+    /// When.
+    pub at: Duration,
+    /// Number of the balancer.
+    pub balancer: usize,
+    /// True when it returned.
+    pub ready: bool,
 }
 
 /// Messages of one kind.
@@ -105,6 +143,25 @@
         number(most * count) / number(total.max(1))
     }
 
+    /// Times from `since` until each balancer of another zone than `zone` believed that the path
+    /// there is cut, or open again; the shortest first.
+    pub fn belief_times(&self, zone: usize, cut: bool, since: Duration) -> Vec<Duration> {
+        let changes = self.paths.iter();
+        let changes = changes.filter(|it| it.to == zone && it.cut == cut && it.at >= since);
+        let mut first: BTreeMap<usize, Duration> = BTreeMap::new();
+        for change in changes {
+            first.entry(change.balancer).or_insert(change.at - since);
+        }
+        let mut times: Vec<_> = first.into_values().collect();
+        times.sort_unstable();
+        times
+    }
+
+    /// Connections to targets, probes included, for each flow that opened.
+    pub fn connections_per_flow(&self) -> f64 {
+        number(self.flows + self.probes) / number(self.flows.max(1))
+    }
+
     /// Requests by the second in which they began.
     pub fn windows(&self) -> Vec<Window> {
         let mut windows: BTreeMap<u64, Window> = BTreeMap::new();
--- a/crates/mulberrynotch_standin/src/emulator/world.rs
+++ b/crates/mulberrynotch_standin/src/emulator/world.rs
@@ -269,10 +269,16 @@
         }
         self.report.calls = self.store.calls;
         self.report.ran = self.targets.iter().map(|(id, it)| (*id, it.ran)).collect();
-        for request in &mut self.report.requests {
-            request.began = request.began.saturating_sub(EPOCH + LEAD);
+        let mut report = std::mem::take(&mut self.report);
+        for request in &mut report.requests {
+            request.began = self.since_load(request.began);
         }
-        self.report
+        report
+    }
+
+    /// Time since the load began.
+    fn since_load(&self, at: Duration) -> Duration {
+        at.saturating_sub(EPOCH + LEAD)
     }
 
     fn handle(&mut self, event: Event) {
@@ -378,6 +384,7 @@
             let since = target.draining_since;
             let late = since.is_some_and(|at| now > at + Duration::from_secs(3));
             self.report.late_openings += u64::from(late);
+            self.report.flows += u64::from(!target.holds(&packet.flow));
             target.open(packet.flow);
             let cookie = mulberrynotch_steer::cookie::of(id);
             return self.reply(packet.flow, Reply::Opened(cookie));
--- a/crates/mulberrynotch_standin/tests/emulator.rs
+++ b/crates/mulberrynotch_standin/tests/emulator.rs
@@ -6,7 +6,7 @@
     report, //
 };
 
-const PLANS: [&str; 11] = [
+const PLANS: [&str; 12] = [
     include_str!("../../../examples/experiment/plans/balancers-paused.jsonc"),
     include_str!("../../../examples/experiment/plans/balancers-rolled.jsonc"),
     include_str!("../../../examples/experiment/plans/burst.jsonc"),
@@ -18,8 +18,16 @@
     include_str!("../../../examples/experiment/plans/targets-slow.jsonc"),
     include_str!("../../../examples/experiment/plans/zone-cut.jsonc"),
     include_str!("../../../examples/experiment/plans/zone-out.jsonc"),
+    include_str!("../../../examples/experiment/plans/zone-out-then-cut.jsonc"),
 ];
 
+/// A zone of 28 balancers that goes out of service and is cut off.
+const LARGE_ZONE: &str =
+    include_str!("../../../examples/experiment/plans/zone-out-then-cut-84.jsonc");
+
+/// Connections to targets that each opened flow may cost, probes included.
+const CONNECTIONS_PER_FLOW: f64 = 1.1;
+
 const SEEDS: [u64; 3] = [1, 2, 3];
 
 fn plan(text: &str, seed: u64) -> plan::Plan {
@@ -80,6 +88,33 @@
     }
 }
 
+/// Guards against clients that are sent to a zone which reaches no target, until its cut ends.
+#[test]
+fn a_zone_that_is_out_and_cut_off_hands_its_clients_over() {
+    let name = "A zone goes out of service and is cut off";
+    for seed in SEEDS {
+        let report = play(name, seed, emulator::Method::Steer);
+        assert!(report.served() >= 0.99, "seed {seed}: {}", report.served());
+        let back = report.rotations.iter().filter(|it| it.ready).count();
+        let away = report.rotations.iter().filter(|it| !it.ready).count();
+        assert_eq!((away, back), (3, 3), "seed {seed}: no flapping");
+        let connections = report.connections_per_flow();
+        assert!(connections <= CONNECTIONS_PER_FLOW, "{connections}");
+    }
+}
+
+/// Guards against a large zone that stays in rotation because one of its balancers does, and
+/// against probes that grow with the product of two fleets.
+#[test]
+fn a_large_zone_steps_aside_whole() {
+    let report = emulator::run(&plan(LARGE_ZONE, 1), emulator::Method::Steer);
+    assert!(report.served() >= 0.99, "{}", report.served());
+    let away = report.rotations.iter().filter(|it| !it.ready).count();
+    assert_eq!(away, 28);
+    let connections = report.connections_per_flow();
+    assert!(connections <= CONNECTIONS_PER_FLOW, "{connections}");
+}
+
 /// Guards against a choice that is worse than none under load that is not even.
 #[test]
 fn slow_targets_hurt_less_than_with_plain_hashing() {
--- a/examples/experiment/main.rs
+++ b/examples/experiment/main.rs
@@ -6,7 +6,8 @@
 use std::{
     error,
     fs,
-    path::PathBuf, //
+    path::PathBuf,
+    time::Duration, //
 };
 
 use clap::Parser;
@@ -47,6 +48,7 @@
         print_row("hash", &hash);
         print_windows(&steer, &hash);
         print_control(&plan, &steer);
+        print_paths(&plan, &steer);
         let name = file.with_extension("svg");
         let path = args
             .plots
@@ -99,6 +101,35 @@
     }
 }
 
+/// What flows and probes cost, and when the balancers knew of each cut and of its end.
+fn print_paths(plan: &plan::Plan, report: &report::Report) {
+    println!(
+        "flows: {} opened, {} broken, {} refused; {} probes, {} a second, {:.3} connections a flow",
+        report.flows,
+        report.broken_flows,
+        report.refused_flows,
+        report.probes,
+        report.probes / plan.seconds.max(1),
+        report.connections_per_flow(),
+    );
+    for fault in &plan.faults {
+        let plan::Fault::ZoneCut { at, zone, lasts } = fault else {
+            continue;
+        };
+        for (cut, from) in [(true, *at), (false, at + lasts)] {
+            let times = report.belief_times(*zone, cut, Duration::from_secs_f64(from));
+            let millis = |index: usize| times.get(index).map_or(0, Duration::as_millis);
+            println!(
+                "zone {zone} {}: known to {} balancers of other zones, the middle one after {} ms, the last one after {} ms",
+                if cut { "cut off" } else { "back" },
+                times.len(),
+                millis(times.len() / 2),
+                millis(times.len().saturating_sub(1)),
+            );
+        }
+    }
+}
+
 /// Time in which the balancers run before the load, in seconds.
 const LEAD_SECONDS: u64 = 2;
 
