Stay in rotation while no target takes new flows anywhere

Cause: found on reading the change of readiness: where the register has no target for new flows at all, as after a lapse of all entries, every balancer of every zone would have stepped aside, and the packets of open flows would have had no balancer. Change: a balancer steps aside only if some target takes new flows by the register, or if it reaches none itself. Before and after: the test finds 0 and 6 of 6 balancers in rotation. Conclusion: stepping aside needs somebody who can take over.

--- a/crates/mulberrynotch_steer/src/machine/readiness.rs
+++ b/crates/mulberrynotch_steer/src/machine/readiness.rs
@@ -34,7 +34,7 @@
         if isolated {
             self.seek_target(now);
         }
-        let serves = !isolated && self.has_target(now);
+        let serves = !isolated && (self.has_target(now) || !self.others_may_serve(now));
         if let Some(ready) = self.rotation.update(now, serves) {
             self.log_rotation(now, ready, isolated);
         }
@@ -47,6 +47,14 @@
         targets.any(|it| self.is_usable(now, it))
     }
 
+    /// True while a target takes new flows by the register, whether this balancer reaches it or not.
+    /// Where there is none, nobody serves new flows, and stepping aside would only lose the packets
+    /// of open ones.
+    fn others_may_serve(&self, now: Duration) -> bool {
+        let mut targets = self.catalog.targets();
+        targets.any(|it| self.catalog.exclusion(now, it).is_none())
+    }
+
     fn is_usable(&self, now: Duration, target: &catalog::Target) -> bool {
         self.catalog.exclusion(now, target).is_none()
             && !self.paths.is_cut(&target.entry.zone)
--- a/crates/mulberrynotch_steer/tests/partition.rs
+++ b/crates/mulberrynotch_steer/tests/partition.rs
@@ -94,6 +94,19 @@
     );
 }
 
+/// Guards against open flows that are lost because every balancer steps aside, as when the entries of
+/// all targets lapse: without a target for new flows anywhere, nobody can take over.
+#[test]
+fn balancers_stay_while_no_target_takes_new_flows_anywhere() {
+    let mut world = world(2);
+    for zone in ["a", "b", "c"] {
+        world.set_out(zone, true);
+    }
+    world.run(1_000);
+    let ready = (world.ready("a"), world.ready("b"), world.ready("c"));
+    assert_eq!(ready, (2, 2, 2));
+}
+
 /// Guards against flows that wait in silence, and against ones that are refused while the routers
 /// are about to send their next packet to a zone that serves them.
 #[test]
