Let operators see and overrule that a balancer steps aside

Cause: a zone that steps aside wrongly could only be brought back by a restart of all balancers, and `explain` left out the lines on paths and rotation. Change: the setting `step_aside`, read again on a reload; `explain` shows zone_path and rotation. Tests: an operator keeps a balancer in rotation; a refused flow is explained with both lines.

--- a/crates/mulberrynotch_net/src/steer/mod.rs
+++ b/crates/mulberrynotch_net/src/steer/mod.rs
@@ -303,11 +303,19 @@
         while settings.changed().await.is_ok() {
             let new = settings.borrow_and_update().clone();
             let restart = new.needs_restart(&self.settings);
-            self.lock().set_seeds(new.seeds.clone());
+            {
+                let mut machine = self.lock();
+                machine.set_seeds(new.seeds.clone());
+                machine.set_step_aside(new.step_aside);
+            }
             let seeds = new.seeds.len();
             event::info(
                 "reloaded",
-                &[("seeds", &seeds), ("restart_needed", &restart)],
+                &[
+                    ("seeds", &seeds),
+                    ("step_aside", &new.step_aside),
+                    ("restart_needed", &restart),
+                ],
             );
         }
         // The sender lives as long as the process.
@@ -329,7 +337,9 @@
         silent_ms: 0,
     };
     let random = rendezvous::weight(rendezvous::name(&settings.name), incarnation);
-    machine::Machine::new(me, settings.seeds.clone(), random)
+    let mut machine = machine::Machine::new(me, settings.seeds.clone(), random);
+    machine.set_step_aside(settings.step_aside);
+    machine
 }
 
 /// Time since the VM's start, suspensions included.
--- a/crates/mulberrynotch_register/src/steering.rs
+++ b/crates/mulberrynotch_register/src/steering.rs
@@ -53,6 +53,8 @@
         pub drain_ms: u32,
         /// Bandwidth of the VM's link, in Mbit/s. VMs with more read the store for their zone.
         pub link_mbps: u32,
+        /// True when the process leaves the routers' rotation while it can serve no new flow.
+        pub step_aside: bool,
         /// Lowest level that is logged.
         pub log_level: settings::Level,
     }
@@ -61,17 +63,18 @@
 impl Settings {
     /// True when what differs between the two takes effect only at a start.
     pub fn needs_restart(&self, running: &Self) -> bool {
-        let same_seeds = Self {
+        let same_otherwise = Self {
             seeds: running.seeds.clone(),
+            step_aside: running.step_aside,
             ..self.clone()
         };
-        same_seeds != *running
+        same_otherwise != *running
     }
 }
 
 /// Reads settings.
 pub(crate) fn read(reader: &mut Reader, value: &Value<'_>) -> Option<Settings> {
-    const KEYS: [&str; 11] = [
+    const KEYS: [&str; 12] = [
         "name",
         "zone",
         "packet_address",
@@ -82,6 +85,7 @@
         "seeds",
         "drain_ms",
         "link_mbps",
+        "step_aside",
         "log_level",
     ];
     let object = reader.object(value, &KEYS)?;
@@ -100,6 +104,7 @@
     );
     let drain_ms = reader.or(object, "drain_ms", read::number, DRAIN_MS);
     let link_mbps = reader.or(object, "link_mbps", read::decimal, LINK_MBPS);
+    let step_aside = reader.or(object, "step_aside", read::boolean, true);
     let level = settings::Level::default();
     let log_level = reader.or(object, "log_level", decode::level, level);
     Some(Settings {
@@ -113,6 +118,7 @@
         seeds: seeds?,
         drain_ms: drain_ms?,
         link_mbps: link_mbps?,
+        step_aside: step_aside?,
         log_level: log_level?,
     })
 }
--- a/crates/mulberrynotch_steer/src/machine.rs
+++ b/crates/mulberrynotch_steer/src/machine.rs
@@ -236,6 +236,11 @@
         !self.catalog.is_usable() || self.resumed_at.is_some()
     }
 
+    /// Lets the process step aside while it can serve no new flow, or keeps it in rotation.
+    pub fn set_step_aside(&mut self, allowed: bool) {
+        self.rotation.set_allowed(allowed);
+    }
+
     /// Replaces the peers that are contacted first.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
         self.fleet.set_seeds(seeds);
--- a/crates/mulberrynotch_steer/src/rotation.rs
+++ b/crates/mulberrynotch_steer/src/rotation.rs
@@ -13,22 +13,29 @@
 /// State of one balancer.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Rotation {
+    /// True when an operator keeps the balancer in rotation.
+    kept: bool,
     away_since: Option<Duration>,
     serves_since: Option<Duration>,
 }
 
 impl Rotation {
+    /// Lets the balancer step aside, or keeps it in rotation whatever it can serve.
+    pub fn set_allowed(&mut self, allowed: bool) {
+        self.kept = !allowed;
+    }
+
     /// Notes whether new flows can be served; returns whether the balancer is in rotation, when that
     /// changed.
     pub fn update(&mut self, now: Duration, serves: bool) -> Option<bool> {
-        if !serves {
+        if !serves && !self.kept {
             self.serves_since = None;
             let left = self.away_since.is_none();
             self.away_since.get_or_insert(now);
             return left.then_some(false);
         }
         let since = *self.serves_since.get_or_insert(now);
-        let returns = self.away_since.is_some() && now >= since + RETURN;
+        let returns = self.away_since.is_some() && (self.kept || now >= since + RETURN);
         if returns {
             self.away_since = None;
         }
--- a/crates/mulberrynotch_steer/tests/rotation.rs
+++ b/crates/mulberrynotch_steer/tests/rotation.rs
@@ -32,3 +32,15 @@
     assert_eq!(rotation.update(at(2_300), true), Some(true));
     assert!(!rotation.is_away());
 }
+
+/// Guards against an operator who cannot bring a zone back that steps aside wrongly.
+#[test]
+fn an_operator_keeps_a_balancer_in_rotation() {
+    let mut rotation = Rotation::default();
+    rotation.update(at(0), false);
+    rotation.set_allowed(false);
+    assert_eq!(rotation.update(at(100), false), Some(true));
+    assert_eq!(rotation.update(at(200), false), None);
+    rotation.set_allowed(true);
+    assert_eq!(rotation.update(at(300), false), Some(false));
+}
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -59,14 +59,24 @@
             .is_some_and(|it| it == flow || client(it))
     }
 
-    /// True for what was believed of a target, or of the register and the store.
+    /// True for what was believed of a target, of the register and the store, or of the paths to
+    /// other zones.
     fn is_belief(&self, targets: &[String]) -> bool {
         let target = self.field("target").map(str::to_owned);
         let about = target.is_some_and(|it| targets.contains(&it));
         let verdict = matches!(self.field("event"), Some("target_verdict" | "target"));
         let general = matches!(
             self.field("event"),
-            Some("store_lost" | "store_regained" | "paused" | "resumed" | "started" | "draining")
+            Some(
+                "store_lost"
+                    | "store_regained"
+                    | "paused"
+                    | "resumed"
+                    | "started"
+                    | "draining"
+                    | "rotation"
+                    | "zone_path"
+            )
         );
         about && verdict || general
     }
--- a/tests/steer.rs
+++ b/tests/steer.rs
@@ -74,6 +74,24 @@
     assert!(String::from_utf8(output.stdout).unwrap().contains("zone a"));
 }
 
+/// Guards against a story of a refused flow that does not say that its zone had stepped aside.
+#[test]
+fn an_explained_flow_shows_the_paths_and_the_rotation() {
+    let log = "time=99.0 event=zone_path zone=b state=Cut told_by=- proven_ms=310 cut_ms=120\n\
+               time=99.1 event=rotation ready=false isolated=false cut_zones=b excluded_targets=5\n\
+               time=99.2 event=flow_refused flow=100.64.0.9:4001>198.18.0.1:443 reason=SteppedAside\n";
+    let path = file("vm-3.log", log);
+    let output = run(&[
+        "explain",
+        path.to_str().unwrap(),
+        "--flow",
+        "100.64.0.9:4001",
+    ]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(text.contains("event=zone_path"), "{text}");
+    assert!(text.contains("event=rotation"), "{text}");
+}
+
 /// Guards against a story of a flow that lacks a balancer, or what was believed of its target.
 #[test]
 fn a_flow_is_explained_over_the_logs_of_several_balancers() {
