--- a/crates/mulberrynotch_steer/src/path.rs
+++ b/crates/mulberrynotch_steer/src/path.rs
@@ -18,9 +18,9 @@
     record, //
 };
 
-/// Pause between two questions to balancers of a suspected zone; a path of any length inside a
-/// region passes a question and its answer in less.
-const PERIOD: Duration = Duration::from_millis(30);
+/// Pause between two questions to balancers of a suspected zone. A path inside a region passes a
+/// question and its answer in less, and each tick of the driver, 30 ms, finds a question due.
+const PERIOD: Duration = Duration::from_millis(25);
 
 /// Questions that stay unanswered before a zone is taken for cut off.
 const QUESTIONS: u32 = 4;
