Number the cuts of a path, and believe in one only after probes of its targets

Change: cuts have numbers, which are merged without times; a finder whose peers disprove its cut believes for itself until it has proof; two targets are probed before a cut is believed, and one that answers ends the suspicion for a second; evidence is kept through a cut and dropped only where that lasted a second. Tests that failed first: balancers_that_see_different_things_do_not_flap; half of the targets and no balancer; a disputed cut; an accepted probe.

--- a/crates/mulberrynotch_net/src/steer/dump.rs
+++ b/crates/mulberrynotch_net/src/steer/dump.rs
@@ -90,6 +90,7 @@
         json!({
             "zone": it.zone,
             "state": format!("{:?}", it.state),
+            "alone": it.alone,
             "proven_ms": it.proven.map(millis),
             "cut_ms": it.cut.map(millis),
             "failed_targets": it.failed_targets,
--- a/crates/mulberrynotch_steer/src/evidence.rs
+++ b/crates/mulberrynotch_steer/src/evidence.rs
@@ -188,13 +188,15 @@
         (before != Verdict::Good).then_some(before)
     }
 
-    /// Notes that a packet of a flow that was first sent at `sent_at` was not answered.
+    /// Notes that a packet of a flow that was first sent at `sent_at` was not answered. The target is
+    /// not probed while it is not `reached`, since a probe would tell nothing.
     pub fn failed(
         &mut self,
         now: Duration,
         target: record::Id,
         sent_at: Duration,
         flow: u32,
+        reached: bool,
     ) -> Response {
         let before = self.verdict(target);
         let case = self.cases.entry(target).or_default();
@@ -211,10 +213,10 @@
             case.doubt = FIRST_DOUBT;
             case.doubt_ends = case.doubt_ends.max(now + case.doubt);
         }
-        let probe = !case.probing && (first || case.wants_probe());
+        let probe = reached && !case.probing && (first || case.wants_probe());
         case.probing |= probe;
         self.judge(now, target);
-        self.response(target, before, probe, more)
+        self.response(target, before, probe, more && reached)
     }
 
     /// Notes that a peer saw flows of a target fail. Returns `None` when progress here speaks
--- a/crates/mulberrynotch_steer/src/machine/data.rs
+++ b/crates/mulberrynotch_steer/src/machine/data.rs
@@ -108,7 +108,7 @@
         self.note_failure(now, target, since, &packet.flow);
     }
 
-    /// Counts a packet that stayed unanswered against its target, or against the path to it.
+    /// Counts a packet that stayed unanswered against its target, and against the path to it.
     fn note_failure(
         &mut self,
         now: Duration,
@@ -116,10 +116,9 @@
         sent_at: Duration,
         flow: &packet::Flow,
     ) {
-        if self.note_failure_on_path(now, target, sent_at) {
-            return;
-        }
-        let response = self.evidence.failed(now, target, sent_at, hash(flow));
+        self.note_failure_on_path(now, target, sent_at);
+        let (flow, reached) = (hash(flow), self.is_reached(target));
+        let response = self.evidence.failed(now, target, sent_at, flow, reached);
         self.respond(now, target, response);
     }
 
--- a/crates/mulberrynotch_steer/src/machine/partition.rs
+++ b/crates/mulberrynotch_steer/src/machine/partition.rs
@@ -23,10 +23,7 @@
 /// Balancers of another zone that one question goes to.
 const ASKED: usize = 2;
 
-/// Targets of a suspected zone that are probed with each question where no balancer of it is known.
-const PROBED: usize = 2;
-
-/// Targets that each balancer probes when a path is cut, as its own proof.
+/// Targets that each balancer probes as its own proof that a path is cut.
 const PROOF_TARGETS: usize = 2;
 
 /// Balancers of a zone that look whether a cut has ended.
@@ -39,6 +36,9 @@
 /// Time before a suspicion in which the failures that it explains began.
 const EXPLAINED: Duration = Duration::from_millis(700);
 
+/// Length of a cut from which on it explains failures behind it.
+const EXPLAINS: Duration = Duration::from_millis(1_000);
+
 /// Time from which on a request in a cut zone is unanswered for good; the client is about to send it
 /// again.
 const UNANSWERED: Duration = Duration::from_millis(180);
@@ -47,19 +47,16 @@
 const PROBE_TIME: Duration = Duration::from_millis(100);
 
 impl Machine {
-    /// Counts a packet that stayed unanswered against the path to its target's zone. Returns true
-    /// when the path explains it, so that it says nothing of the target.
+    /// Counts a packet that stayed unanswered against the path to its target's zone.
     pub(super) fn note_failure_on_path(
         &mut self,
         now: Duration,
         target: record::Id,
         sent_at: Duration,
-    ) -> bool {
-        let Some(zone) = self.zone_elsewhere(target) else {
-            return false;
-        };
-        self.paths.failed(now, &zone, target, sent_at);
-        self.paths.is_cut(&zone)
+    ) {
+        if let Some(zone) = self.zone_elsewhere(target) {
+            self.paths.failed(now, &zone, target, sent_at);
+        }
     }
 
     /// Takes in a probe of a target as evidence on the path to it.
@@ -74,10 +71,15 @@
         };
         let sent_at = now.saturating_sub(PROBE_TIME);
         match outcome {
-            evidence::Probe::Accepted => self.note_arrival(now, &zone, sent_at),
+            evidence::Probe::Accepted => {
+                if let Some(change) = self.paths.probe_accepted(now, &zone, sent_at) {
+                    self.path_changed(now, &zone, change, None);
+                }
+            }
             evidence::Probe::Silent => {
                 self.paths.failed(now, &zone, target, sent_at);
                 self.paths.probe_failed(&zone);
+                self.decide_paths(now);
             }
             // The target's VM may have refused it, or the network at the edge of a partition.
             evidence::Probe::Refused => self.paths.probe_failed(&zone),
@@ -114,8 +116,12 @@
         if told.from != own || told.to == own {
             return;
         }
-        let at = now.saturating_sub(Duration::from_millis(told.age_ms.into()));
-        match self.paths.told(&told.to, told.open, at) {
+        let word = path::Word {
+            number: told.number,
+            open: told.open,
+            at: now.saturating_sub(Duration::from_millis(told.age_ms.into())),
+        };
+        match self.paths.told(now, &told.to, word) {
             path::Merge::Changed(change) => self.path_changed(now, &told.to, change, Some(from)),
             path::Merge::Outdated => self.send_path(now, vec![from], &told.to),
             path::Merge::Known => {}
@@ -137,20 +143,13 @@
         for zone in self.paths.questions(now) {
             let members = self.fleet.sample_of(now, &zone, ASKED);
             self.paths.asked(now, &zone, members.len());
-            if members.is_empty() {
-                self.probe_in(now, &zone, PROBED);
-            }
             self.ask(now, members);
         }
-        let (catalog, paths) = (&self.catalog, &self.paths);
-        let reached = |id: record::Id| {
-            let target = catalog.target(id);
-            target.is_some_and(|it| paths.state(&it.entry.zone) == path::State::Open)
-        };
-        let in_touch = self.evidence.is_in_touch(now, reached);
-        for zone in self.paths.decide(now, in_touch) {
-            self.path_changed(now, &zone, path::Change::Cut, None);
+        for zone in self.paths.unprobed() {
+            let count = self.probe_in(now, &zone, PROOF_TARGETS);
+            self.paths.probed(&zone, count);
         }
+        let in_touch = self.decide_paths(now);
         let cut: Vec<_> = self.paths.cut().cloned().collect();
         for zone in cut {
             self.look_for_end(now, &zone);
@@ -160,13 +159,28 @@
         }
     }
 
+    /// Decides on suspicions; returns whether the link of this balancer works.
+    fn decide_paths(&mut self, now: Duration) -> bool {
+        let (catalog, paths) = (&self.catalog, &self.paths);
+        let open = |id: record::Id| {
+            let target = catalog.target(id);
+            target.is_some_and(|it| paths.state(&it.entry.zone) == path::State::Open)
+        };
+        let in_touch = self.evidence.is_in_touch(now, open);
+        for zone in self.paths.decide(now, in_touch) {
+            self.path_changed(now, &zone, path::Change::Cut, None);
+        }
+        in_touch
+    }
+
     /// True when open flows into a zone are reset once they wait for an answer.
     pub(super) fn may_reset_into(&self, now: Duration, zone: &str) -> bool {
         self.paths.is_proven_cut(now, zone) && self.evidence.contact().is_proven(now)
     }
 
     fn look_for_end(&mut self, now: Duration, zone: &Arc<str>) {
-        if !self.fleet.is_among(now, rendezvous::name(zone), PROBERS) {
+        let prober = self.fleet.is_among(now, rendezvous::name(zone), PROBERS);
+        if !prober && !self.paths.is_alone(zone) {
             return;
         }
         let lot = self.draw();
@@ -192,16 +206,16 @@
         }
     }
 
-    /// Probes targets of a zone, drawn at random.
-    pub(super) fn probe_in(&mut self, now: Duration, zone: &str, most: usize) {
+    /// Probes targets of a zone, drawn at random; returns how many.
+    pub(super) fn probe_in(&mut self, now: Duration, zone: &str, most: usize) -> u32 {
         let lot = self.draw();
         let inside = self.catalog.targets().filter(|it| *it.entry.zone == *zone);
         let usable = inside.filter(|it| self.catalog.target_lives(now, it));
         let mut ids: Vec<_> = usable.map(|it| it.id).collect();
         ids.sort_unstable_by_key(|id| rendezvous::weight(lot, id.0));
-        for id in ids.into_iter().take(most) {
-            self.probe(id);
-        }
+        ids.truncate(most);
+        ids.iter().for_each(|id| self.probe(*id));
+        u32::try_from(ids.len()).unwrap_or(u32::MAX)
     }
 
     fn ask(&mut self, now: Duration, to: Vec<SocketAddrV4>) {
@@ -222,7 +236,10 @@
         let peers = self.fleet.sample_near(now, TOLD_PEERS);
         self.send_path(now, peers, zone);
         match change {
-            path::Change::Cut => self.probe_in(now, zone, PROOF_TARGETS),
+            path::Change::Cut if told_by.is_some() => {
+                self.probe_in(now, zone, PROOF_TARGETS);
+            }
+            path::Change::Cut => {}
             path::Change::Opened => self.excuse_targets(now, zone),
         }
         self.check_rotation_now(now);
@@ -235,9 +252,11 @@
         }
     }
 
-    /// Drops the evidence against targets that a cut explains, now that it has ended.
+    /// Drops the evidence against targets that a cut explains, now that it has ended. One that was
+    /// disproved soon explains nothing: its targets may have ended.
     fn excuse_targets(&mut self, now: Duration, zone: &Arc<str>) {
-        let Some(cut_at) = self.paths.last_cut(zone) else {
+        let lasted = |at: &Duration| now.saturating_sub(*at) >= EXPLAINS;
+        let Some(cut_at) = self.paths.last_cut(zone).filter(lasted) else {
             return;
         };
         let catalog = &self.catalog;
--- a/crates/mulberrynotch_steer/src/message.rs
+++ b/crates/mulberrynotch_steer/src/message.rs
@@ -59,7 +59,9 @@
         pub from: Arc<str>,
         /// Availability zone that the path leads to.
         pub to: Arc<str>,
-        /// True when packets arrive.
+        /// Number of the latest cut that the sender knows of.
+        pub number: u64,
+        /// True when that cut has ended.
         pub open: bool,
         /// Time since a packet was known to arrive, or since none does, in milliseconds.
         pub age_ms: u32,
--- a/crates/mulberrynotch_steer/src/path.rs
+++ b/crates/mulberrynotch_steer/src/path.rs
@@ -3,8 +3,13 @@
 //!
 //! A partition fails all targets behind it at once. Flows that fail there make the zone suspected;
 //! then balancers of that zone are asked for an answer, and the silence of several of them together
-//! with that of a target is taken for a cut. What was proven later than the cut began ends it, and
-//! beliefs of peers are merged by the same rule, so the order of messages does not matter.
+//! with that of a target is taken for a cut. What is proven later than the cut began ends it.
+//!
+//! Each cut has a number, one more than the last that its finder knew of. Among the words of peers a
+//! higher number wins, and for one number the word that the path is open; so the order of messages
+//! does not matter, and no word comes back. Times would not do: peers tell ages, and an age gets
+//! younger with each message that passes it on. A finder whose peers prove that the path is open
+//! goes on believing in the cut for itself, until it has proof of its own.
 
 use std::{
     collections::BTreeMap,
@@ -49,6 +54,12 @@
 /// that has ended.
 const PROOF_PROBES: u32 = 2;
 
+/// Time without suspicion after a target answered whose zone's balancers did not.
+const CALM: Duration = Duration::from_millis(1_000);
+
+/// Time after peers disproved a cut in which another one is not told to them.
+const DISPUTE: Duration = Duration::from_secs(5);
+
 /// Time for which a former cut is told to peers, so that none goes on believing in it.
 const TOLD: Duration = Duration::from_secs(20);
 
@@ -74,10 +85,25 @@
     questions: u32,
     asked: usize,
     asked_at: Option<Duration>,
+    /// Other targets that are probed, and probes that failed.
+    probes: Option<u32>,
+    failed_probes: u32,
 }
 
 #[derive(Clone, Debug, Default)]
 struct Path {
+    /// Number of the latest cut, and whether it goes on.
+    number: u64,
+    shared: bool,
+    /// True when this balancer found the latest cut itself.
+    found: bool,
+    /// True while the cut holds for this balancer, although its peers proved that it does not for
+    /// them.
+    alone: bool,
+    /// Until when failures make no suspicion.
+    calm_until: Duration,
+    /// When peers disproved a cut that this balancer found.
+    disputed_at: Option<Duration>,
     /// Latest time at which a packet is known to have arrived in the zone.
     proven_at: Option<Duration>,
     /// Latest time from which on nothing arrived.
@@ -93,18 +119,36 @@
 
 impl Path {
     fn is_cut(&self) -> bool {
-        self.cut_at > self.proven_at
+        self.shared || self.alone
+    }
+
+    /// Ends the belief in a cut; returns whether there was one.
+    fn open(&mut self) -> bool {
+        let was_cut = self.is_cut();
+        self.shared = false;
+        self.alone = false;
+        self.failed_probes = 0;
+        was_cut
     }
 
-    /// The latest word on the path, for peers; `None` unless there was a cut.
-    fn word(&self) -> Option<(bool, Duration)> {
-        let cut_at = self.cut_at?;
-        let proven_at = self.proven_at.filter(|_| !self.is_cut());
-        Some((proven_at.is_some(), proven_at.unwrap_or(cut_at)))
+    /// Place of the own word among those of others.
+    fn rank(&self) -> (u64, bool) {
+        (self.number, !self.shared)
     }
 }
 
 mulberrynotch_macros::data! {
+    /// What a balancer tells of a path.
+    #[derive(Copy)]
+    pub struct Word {
+        /// Number of the latest cut.
+        pub number: u64,
+        /// True when that cut has ended.
+        pub open: bool,
+        /// When the cut began, or when a packet was known to arrive.
+        pub at: Duration,
+    }
+
     /// A changed belief.
     #[derive(Copy)]
     pub enum Change {
@@ -131,6 +175,8 @@
         pub zone: Arc<str>,
         /// The belief.
         pub state: State,
+        /// True when peers have proof that the path is open for them.
+        pub alone: bool,
         /// Time since a packet is known to have arrived.
         pub proven: Option<Duration>,
         /// Time since the latest cut began.
@@ -163,6 +209,11 @@
         self.state(zone) == State::Cut
     }
 
+    /// True while a cut holds for this balancer alone, which then looks for its end itself.
+    pub fn is_alone(&self, zone: &str) -> bool {
+        self.paths.get(zone).is_some_and(|it| it.alone)
+    }
+
     /// True while a path is suspected or cut.
     pub fn is_troubled(&self) -> bool {
         let mut paths = self.paths.values();
@@ -201,8 +252,47 @@
 
     /// Notes that a probe of this balancer did not reach a target of a zone.
     pub fn probe_failed(&mut self, zone: &str) {
-        if let Some(path) = self.paths.get_mut(zone).filter(|it| it.is_cut()) {
+        let Some(path) = self.paths.get_mut(zone) else {
+            return;
+        };
+        if path.is_cut() {
             path.failed_probes = path.failed_probes.saturating_add(1);
+        } else if let Some(suspicion) = &mut path.suspicion {
+            suspicion.failed_probes = suspicion.failed_probes.saturating_add(1);
+        }
+    }
+
+    /// Notes that a target of a zone accepted a probe that was sent at `at`. Where its balancers do
+    /// not answer all the same, failures of single targets are no reason to ask them for a while.
+    pub fn probe_accepted(
+        &mut self,
+        now: Duration,
+        zone: &Arc<str>,
+        at: Duration,
+    ) -> Option<Change> {
+        let path = self.paths.entry(zone.clone()).or_default();
+        if path.suspicion.take().is_some() {
+            path.calm_until = now + CALM;
+        }
+        self.proven(zone, at)
+    }
+
+    /// Suspected zones whose targets have not been probed.
+    pub fn unprobed(&self) -> Vec<Arc<str>> {
+        let due = |it: &Suspicion| it.probes.is_none();
+        let paths = self.paths.iter();
+        paths
+            .filter(|(_, path)| path.suspicion.as_ref().is_some_and(due))
+            .map(|(zone, _)| zone.clone())
+            .collect()
+    }
+
+    /// Notes that `count` targets of a suspected zone are being probed.
+    pub fn probed(&mut self, zone: &str, count: u32) {
+        let path = self.paths.get_mut(zone);
+        if let Some(suspicion) = path.and_then(|it| it.suspicion.as_mut()) {
+            suspicion.probes = Some(count);
+            suspicion.failed_probes = 0;
         }
     }
 
@@ -215,7 +305,8 @@
         sent_at: Duration,
     ) {
         let path = self.paths.entry(zone.clone()).or_default();
-        if path.is_cut() || path.proven_at.is_some_and(|at| at > sent_at) {
+        let arrived = path.proven_at.is_some_and(|at| at > sent_at);
+        if path.is_cut() || arrived || now < path.calm_until {
             return;
         }
         let suspicion = path.suspicion.get_or_insert_with(|| Suspicion::new(now));
@@ -227,13 +318,10 @@
     /// Notes that a packet sent at `at` has arrived in a zone.
     pub fn proven(&mut self, zone: &Arc<str>, at: Duration) -> Option<Change> {
         let path = self.paths.entry(zone.clone()).or_default();
-        let was_cut = path.is_cut();
         path.proven_at = path.proven_at.max(Some(at));
         path.suspicion = path.suspicion.take().filter(|it| it.since > at);
-        if !path.is_cut() {
-            path.failed_probes = 0;
-        }
-        (was_cut && !path.is_cut()).then_some(Change::Opened)
+        let later = path.cut_at.is_none_or(|cut_at| at >= cut_at);
+        (later && path.open()).then_some(Change::Opened)
     }
 
     /// Notes that a target of a zone made progress, whichever packet it answers.
@@ -242,36 +330,61 @@
         path.progress_at = Some(now);
     }
 
-    /// Takes in the belief of a peer of the own zone.
-    pub fn told(&mut self, zone: &Arc<str>, open: bool, at: Duration) -> Merge {
-        if open {
-            return match self.proven(zone, at) {
-                Some(change) => Merge::Changed(change),
-                None if self.is_cut(zone) => Merge::Outdated,
-                None => Merge::Known,
-            };
-        }
+    /// Takes in the word of a peer of the own zone.
+    pub fn told(&mut self, now: Duration, zone: &Arc<str>, word: Word) -> Merge {
         let path = self.paths.entry(zone.clone()).or_default();
+        let (theirs, own) = ((word.number, word.open), path.rank());
+        if theirs <= own {
+            let known = theirs == own;
+            return if known { Merge::Known } else { Merge::Outdated };
+        }
+        let found = path.found && path.number == word.number;
         let was_cut = path.is_cut();
-        if path.proven_at >= Some(at) {
+        path.number = word.number;
+        path.found = false;
+        if word.open {
+            path.suspicion = None;
+            path.cut_at.get_or_insert(word.at);
+            path.shared = false;
+            if found {
+                path.alone = true;
+                path.disputed_at = Some(now);
+            }
+            // What this balancer found itself ends by its own proof only.
+            if !was_cut || path.alone {
+                return Merge::Known;
+            }
+            path.open();
+            return Merge::Changed(Change::Opened);
+        }
+        if path.proven_at > Some(word.at) {
+            path.shared = false;
+            path.cut_at = path.cut_at.max(Some(word.at));
             return Merge::Outdated;
         }
-        path.cut_at = path.cut_at.max(Some(at));
+        path.shared = true;
         path.suspicion = None;
+        path.cut_at = path.cut_at.max(Some(word.at));
         match was_cut {
             true => Merge::Known,
             false => Merge::Changed(Change::Cut),
         }
     }
 
-    /// What peers are told of the path to a zone.
+    /// What peers are told of the path to a zone; `None` while there was no cut.
     pub fn word(&self, now: Duration, own: &Arc<str>, zone: &Arc<str>) -> Option<message::Path> {
-        let (open, at) = self.paths.get(zone)?.word()?;
-        let age = now.saturating_sub(at).as_millis();
+        let path = self.paths.get(zone).filter(|it| it.number > 0)?;
+        let at = if path.shared {
+            path.cut_at
+        } else {
+            path.proven_at
+        };
+        let age = now.saturating_sub(at.unwrap_or(now)).as_millis();
         Some(message::Path {
             from: own.clone(),
             to: zone.clone(),
-            open,
+            number: path.number,
+            open: !path.shared,
             age_ms: u32::try_from(age).unwrap_or(u32::MAX),
         })
     }
@@ -320,7 +433,16 @@
             };
             if in_touch && suspicion.is_confirmed(now) {
                 path.cut_at = Some(suspicion.since);
+                path.failed_probes = suspicion.failed_probes;
                 path.suspicion = None;
+                path.found = true;
+                let disputed = |at: Duration| now.saturating_sub(at) < DISPUTE;
+                if path.disputed_at.is_some_and(disputed) {
+                    path.alone = true;
+                } else {
+                    path.number += 1;
+                    path.shared = true;
+                }
                 cut.push(zone.clone());
             } else if now >= suspicion.since + LONGEST_SUSPICION {
                 path.suspicion = None;
@@ -355,6 +477,7 @@
         let beliefs = self.paths.iter().map(|(zone, path)| Belief {
             zone: zone.clone(),
             state: self.state(zone),
+            alone: path.alone,
             proven: age(path.proven_at),
             cut: age(path.cut_at),
             failed_targets: path.suspicion.as_ref().map_or(0, |it| it.targets.len()),
@@ -372,13 +495,18 @@
             questions: 0,
             asked: 0,
             asked_at: None,
+            probes: None,
+            failed_probes: 0,
         }
     }
 
     fn is_confirmed(&self, now: Duration) -> bool {
         let waited = self.asked_at.is_some_and(|at| now >= at + PERIOD);
         let witnesses = self.targets.len() + self.asked;
-        self.questions >= QUESTIONS && waited && witnesses >= WITNESSES
+        let probed = self
+            .probes
+            .is_some_and(|it| self.failed_probes >= it.max(1));
+        self.questions >= QUESTIONS && waited && probed && witnesses >= WITNESSES
     }
 }
 
--- a/crates/mulberrynotch_steer/tests/partition.rs
+++ b/crates/mulberrynotch_steer/tests/partition.rs
@@ -241,6 +241,47 @@
     assert!(probed * 10 <= flows, "{probed} probes, {flows} flows");
 }
 
+/// Guards against a zone that is avoided by turns, because its balancers are gone and half of its
+/// targets too, while the others answer.
+#[test]
+fn a_zone_with_half_of_its_targets_and_no_balancer_stays_open() {
+    let mut world = world(6);
+    world
+        .dead
+        .extend((0..6).map(|place| address(40 + place, 7_000)));
+    world.dark.extend([10, 11]);
+    world.set_out("a", true);
+    world.set_out("c", true);
+    let mut believed = 0;
+    for _ in 0..40 {
+        world.run(50);
+        believed += usize::from(world.believers("a", "b") + world.believers("c", "b") > 0);
+    }
+    assert!(believed <= 4, "{believed} of 40 times");
+}
+
+/// Guards against words that chase each other through a zone when some of its balancers reach
+/// another zone and others do not: each finder believes for itself.
+#[test]
+fn balancers_that_see_different_things_do_not_flap() {
+    let mut world = world(12);
+    world.set_out("a", true);
+    world.run(500);
+    for place in 0..4 {
+        world.unreached.insert((address(place, 7_000), "b"));
+    }
+    world.run(1_000);
+    let told = world.told;
+    let refused = world.refused;
+    world.run(4_000);
+    assert!(world.told - told <= 100, "{}", world.told - told);
+    assert_eq!(world.believers("a", "b"), 4);
+    assert_eq!(world.refused, refused);
+    world.unreached.clear();
+    world.run(KNOWN);
+    assert_eq!(world.believers("a", "b"), 0);
+}
+
 /// Guards against words that grow with the square of the zone.
 #[test]
 fn each_balancer_tells_a_few_peers_of_a_change() {
--- a/crates/mulberrynotch_steer/tests/path.rs
+++ b/crates/mulberrynotch_steer/tests/path.rs
@@ -13,7 +13,8 @@
         Change,
         Merge,
         State,
-        Table, //
+        Table,
+        Word, //
     },
     record::Id, //
 };
@@ -31,14 +32,21 @@
     Arc::from("b")
 }
 
+/// The word that the cut with a number began, or ended, at a time.
+fn word(number: u64, open: bool, millis: u64) -> Word {
+    Word {
+        number,
+        open,
+        at: at(millis),
+    }
+}
+
 /// Fails one target at 60 ms, then asks `balancers` of the zone as often as the table wants to,
 /// until `until`; returns when the zone was taken for cut off.
 fn suspect(table: &mut Table, balancers: usize, in_touch: bool, until: u64) -> Option<u64> {
     table.failed(at(60), &zone(), Id(7), at(0));
     for now in (60..until).step_by(30) {
-        for asked in table.questions(at(now)) {
-            table.asked(at(now), &asked, balancers);
-        }
+        answer_nothing(table, now, balancers);
         if !table.decide(at(now), in_touch).is_empty() {
             return Some(now);
         }
@@ -46,6 +54,18 @@
     None
 }
 
+/// Asks what is due; nobody answers, and the probes of two targets fail.
+fn answer_nothing(table: &mut Table, now: u64, balancers: usize) {
+    for asked in table.questions(at(now)) {
+        table.asked(at(now), &asked, balancers);
+    }
+    for zone in table.unprobed() {
+        table.probed(&zone, 2);
+        table.probe_failed(&zone);
+        table.probe_failed(&zone);
+    }
+}
+
 /// A table that believes in a cut.
 fn cut() -> Table {
     let mut table = Table::default();
@@ -111,10 +131,11 @@
     assert_eq!(table.state("b"), State::Open);
 }
 
-/// Guards against resets of open flows on suspicion: the own probes have to fail too.
+/// Guards against resets of open flows on the word of others: the own probes have to fail too.
 #[test]
 fn flows_are_reset_only_after_own_probes_failed() {
-    let mut table = cut();
+    let mut table = Table::default();
+    table.told(at(60), &zone(), word(1, false, 60));
     assert!(!table.is_proven_cut(at(900), "b"));
     table.probe_failed("b");
     assert!(!table.is_proven_cut(at(900), "b"));
@@ -125,6 +146,25 @@
     assert!(!table.is_proven_cut(at(900), "b"), "a target made progress");
 }
 
+/// Guards against a zone that is taken for cut off again and again, since its balancers are silent
+/// and some of its targets have ended while others answer.
+#[test]
+fn an_accepted_probe_ends_a_suspicion_for_a_while() {
+    let mut table = Table::default();
+    table.failed(at(60), &zone(), Id(7), at(0));
+    for asked in table.questions(at(60)) {
+        table.asked(at(60), &asked, 2);
+    }
+    assert_eq!(table.unprobed(), [zone()]);
+    table.probed("b", 2);
+    table.probe_accepted(at(95), &zone(), at(90));
+    assert_eq!(table.state("b"), State::Open);
+    table.failed(at(200), &zone(), Id(8), at(140));
+    assert_eq!(table.state("b"), State::Open, "other targets answer");
+    table.failed(at(1_200), &zone(), Id(8), at(1_140));
+    assert_eq!(table.state("b"), State::Suspected);
+}
+
 /// Guards against proof of a former cut that counts in the next one.
 #[test]
 fn a_new_cut_needs_new_probes() {
@@ -133,24 +173,56 @@
     table.probe_failed("b");
     table.proven(&zone(), at(2_000));
     assert_eq!(
-        table.told(&zone(), false, at(3_000)),
+        table.told(at(3_000), &zone(), word(2, false, 3_000)),
         Merge::Changed(Change::Cut)
     );
     assert!(!table.is_proven_cut(at(5_000), "b"));
 }
 
-/// Guards against a late word of a peer that brings back a cut which has ended.
+/// Guards against a late word of a peer that brings back a cut which has ended, however young it
+/// looks after it was passed on.
 #[test]
 fn an_outdated_word_changes_nothing() {
     let mut table = cut();
     table.proven(&zone(), at(500));
-    assert_eq!(table.told(&zone(), false, at(400)), Merge::Outdated);
-    assert_eq!(table.state("b"), State::Open);
-    assert_eq!(
-        table.told(&zone(), false, at(600)),
-        Merge::Changed(Change::Cut)
-    );
-    assert_eq!(table.told(&zone(), true, at(550)), Merge::Outdated);
+    let told = table.told(at(900), &zone(), word(1, false, 900));
+    assert_eq!((told, table.state("b")), (Merge::Outdated, State::Open));
+    let told = table.told(at(900), &zone(), word(2, false, 600));
+    assert_eq!(told, Merge::Changed(Change::Cut));
+    let told = table.told(at(950), &zone(), word(1, true, 950));
+    assert_eq!((told, table.state("b")), (Merge::Outdated, State::Cut));
+}
+
+/// Guards against a cut that is taken over although this balancer knows better.
+#[test]
+fn later_proof_disproves_the_word_of_a_peer() {
+    let mut table = Table::default();
+    table.proven(&zone(), at(500));
+    let told = table.told(at(600), &zone(), word(1, false, 400));
+    assert_eq!((told, table.state("b")), (Merge::Outdated, State::Open));
+    let own = Arc::from("a");
+    let word = table.word(at(600), &own, &zone()).unwrap();
+    assert!(word.open && word.number == 1);
+}
+
+/// Guards against flapping where a path is cut for some balancers of a zone only: a finder keeps its
+/// belief for itself, and does not tell it again.
+#[test]
+fn a_disputed_cut_holds_for_its_finder_alone() {
+    let mut table = cut();
+    let told = table.told(at(300), &zone(), word(1, true, 290));
+    assert_eq!((told, table.state("b")), (Merge::Known, State::Cut));
+    assert!(table.is_alone("b"));
+    let own = Arc::from("a");
+    assert!(table.word(at(300), &own, &zone()).unwrap().open);
+    assert_eq!(table.proven(&zone(), at(1_000)), Some(Change::Opened));
+    table.failed(at(1_100), &zone(), Id(7), at(1_040));
+    for now in (1_100..1_400).step_by(30) {
+        answer_nothing(&mut table, now, 2);
+        table.decide(at(now), true);
+    }
+    assert!(table.is_alone("b"));
+    assert_eq!(table.word(at(1_400), &own, &zone()).unwrap().number, 1);
 }
 
 /// Guards against balancers that disagree after they heard the same words in another order.
@@ -166,10 +238,16 @@
         }
         let state = |words: &[(u8, bool)]| {
             let mut table = Table::default();
-            for (time, open) in words {
-                table.told(&zone(), *open, at(u64::from(*time)));
+            for (number, open) in words {
+                let number = u64::from(number % 8) + 1;
+                table.told(at(100), &zone(), word(number, *open, 50));
             }
-            table.is_cut("b")
+            (
+                table.is_cut("b"),
+                table
+                    .word(at(200), &Arc::from("a"), &zone())
+                    .map(|it| it.number),
+            )
         };
         state(&words) == state(&shuffled)
     }
