Reset open flows on proof of their own target only, never on a cut of its zone

Change: a cut keeps new flows away and spares repeated probes, and resets nothing. The verdict on a target needs two failed flows of it, two own probes of it in a row and the rest as before, in a cut as well; its probes begin with the second failure there. Conclusion: beliefs about zones steer new flows; flows that are open rest on proof.

--- a/crates/mulberrynotch_steer/src/evidence.rs
+++ b/crates/mulberrynotch_steer/src/evidence.rs
@@ -188,8 +188,8 @@
         (before != Verdict::Good).then_some(before)
     }
 
-    /// Notes that a packet of a flow that was first sent at `sent_at` was not answered. The target is
-    /// not probed while it is not `reached`, since a probe would tell nothing.
+    /// Notes that a packet of a flow that was first sent at `sent_at` was not answered. While the path
+    /// to its zone is cut, so that it is not `reached`, only the verdict on it is worth a probe.
     pub fn failed(
         &mut self,
         now: Duration,
@@ -213,10 +213,10 @@
             case.doubt = FIRST_DOUBT;
             case.doubt_ends = case.doubt_ends.max(now + case.doubt);
         }
-        let probe = reached && !case.probing && (first || case.wants_probe());
+        let probe = !case.probing && (first && reached || case.wants_probe());
         case.probing |= probe;
         self.judge(now, target);
-        self.response(target, before, probe, more && reached)
+        self.response(target, before, probe, more)
     }
 
     /// Notes that a peer saw flows of a target fail. Returns `None` when progress here speaks
@@ -333,13 +333,9 @@
     }
 
     /// Targets in doubt whose silence has become long enough for the verdict that they are dead.
-    /// Targets that are not `judged` stay as they are.
-    pub fn ripen(&mut self, now: Duration, judged: impl Fn(record::Id) -> bool) -> Vec<record::Id> {
+    pub fn ripen(&mut self, now: Duration) -> Vec<record::Id> {
         let doubtful = self.cases.iter().filter(|(_, it)| it.doubtful && !it.dead);
-        let ids: Vec<_> = doubtful
-            .map(|(id, _)| *id)
-            .filter(|it| judged(*it))
-            .collect();
+        let ids: Vec<_> = doubtful.map(|(id, _)| *id).collect();
         ids.into_iter()
             .filter(|id| {
                 self.judge(now, *id);
--- a/crates/mulberrynotch_steer/src/flow.rs
+++ b/crates/mulberrynotch_steer/src/flow.rs
@@ -193,37 +193,11 @@
         found
     }
 
-    /// Takes the flows for which data sent `waited` ago or earlier is unanswered, and whose target is
-    /// `among` some, each with its target and the position up to which its client holds the stream.
-    pub fn take_waiting(
-        &mut self,
-        now: Duration,
-        waited: Duration,
-        among: impl Fn(record::Id) -> bool,
-    ) -> Vec<(packet::Flow, record::Id, u32)> {
-        let waits = |_: &packet::Flow, flow: &mut Flow| {
-            let since = flow.unanswered_since;
-            let unanswered = since.is_some_and(|at| now.saturating_sub(at) >= waited);
-            unanswered && flow.target.is_some_and(&among)
-        };
-        let taken = self.flows.extract_if(waits);
-        let taken = taken.filter_map(|(flow, it)| Some((flow, it.target?, it.acknowledged)));
-        let mut taken: Vec<_> = taken.collect();
-        // The order of a map differs from run to run.
-        taken.sort_unstable();
-        taken
-    }
-
     /// True when an open flow of a target is known.
     pub fn has_any(&self, target: record::Id) -> bool {
         self.flows.values().any(|it| it.target == Some(target))
     }
 
-    /// Drops the record of a flow.
-    pub fn forget(&mut self, flow: &packet::Flow) {
-        self.flows.remove(flow);
-    }
-
     /// Takes the flows of a target, each with the position up to which its client holds the stream.
     pub fn take(&mut self, target: record::Id) -> Vec<(packet::Flow, u32)> {
         let on_target = |_: &packet::Flow, flow: &mut Flow| flow.target == Some(target);
--- a/crates/mulberrynotch_steer/src/machine/data.rs
+++ b/crates/mulberrynotch_steer/src/machine/data.rs
@@ -1,9 +1,6 @@
 //! Packets of open flows, and what they show of targets.
 
-use std::{
-    sync::Arc,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use mulberrynotch_policy::rendezvous;
 
@@ -52,14 +49,10 @@
             self.note_arrival(now, &zone, now.saturating_sub(latency));
         }
         match observation.sign {
-            flow::Sign::Progress => self.note_progress(now, id, &zone),
+            flow::Sign::Progress => self.note_progress(now, id),
             flow::Sign::Repeat { since } => self.note_repeat(now, packet, id, since),
             flow::Sign::None => {}
         }
-        if packet.length > 0 && self.may_reset_into(now, &zone) {
-            self.flows.forget(&packet.flow);
-            return self.reset(now, packet, id);
-        }
         if self.evidence.verdict(id) == evidence::Verdict::Dead && !packet.flags.reset {
             return self.reset(now, packet, id);
         }
@@ -82,10 +75,7 @@
         Verdict::Reset
     }
 
-    fn note_progress(&mut self, now: Duration, target: record::Id, zone: &Arc<str>) {
-        if *zone != self.fleet.me().zone {
-            self.paths.progress(now, zone);
-        }
+    fn note_progress(&mut self, now: Duration, target: record::Id) {
         if self.evidence.progress(now, target).is_some() {
             self.log_verdict(now, target);
             self.tell_alive(now, target);
--- a/crates/mulberrynotch_steer/src/machine/doubt.rs
+++ b/crates/mulberrynotch_steer/src/machine/doubt.rs
@@ -90,17 +90,15 @@
         let Some(target) = self.catalog.target(doubt.target) else {
             return;
         };
-        if self.paths.is_cut(&target.entry.zone) {
-            return;
-        }
         let near = doubt.zone == self.fleet.me().zone;
+        let reached = !self.paths.is_cut(&target.entry.zone);
         let told = evidence::Told {
             same_way: near || doubt.zone == target.entry.zone,
             failing: Duration::from_millis(doubt.failing_ms.into()),
             flows: &doubt.flows,
             probe_failed: doubt.probe_failed,
             concerned: self.flows.has_any(doubt.target)
-                || probes_for_zone(&self.fleet, now, doubt.target),
+                || reached && probes_for_zone(&self.fleet, now, doubt.target),
         };
         match self.evidence.told(now, doubt.target, &told) {
             Some(response) => self.respond(now, doubt.target, response),
--- a/crates/mulberrynotch_steer/src/machine/partition.rs
+++ b/crates/mulberrynotch_steer/src/machine/partition.rs
@@ -23,8 +23,8 @@
 /// Balancers of another zone that one question goes to.
 const ASKED: usize = 2;
 
-/// Targets that each balancer probes as its own proof that a path is cut.
-const PROOF_TARGETS: usize = 2;
+/// Targets of a suspected zone that are probed.
+const PROBED_TARGETS: usize = 2;
 
 /// Balancers of a zone that look whether a cut has ended.
 const PROBERS: usize = 2;
@@ -39,10 +39,6 @@
 /// Length of a cut from which on it explains failures behind it.
 const EXPLAINS: Duration = Duration::from_millis(1_000);
 
-/// Time from which on a request in a cut zone is unanswered for good; the client is about to send it
-/// again.
-const UNANSWERED: Duration = Duration::from_millis(180);
-
 /// Time of a connection attempt; what is accepted arrived within it.
 const PROBE_TIME: Duration = Duration::from_millis(100);
 
@@ -146,21 +142,18 @@
             self.ask(now, members);
         }
         for zone in self.paths.unprobed() {
-            let count = self.probe_in(now, &zone, PROOF_TARGETS);
+            let count = self.probe_in(now, &zone, PROBED_TARGETS);
             self.paths.probed(&zone, count);
         }
-        let in_touch = self.decide_paths(now);
+        self.decide_paths(now);
         let cut: Vec<_> = self.paths.cut().cloned().collect();
         for zone in cut {
             self.look_for_end(now, &zone);
-            if in_touch {
-                self.reset_waiting(now, &zone);
-            }
         }
     }
 
-    /// Decides on suspicions; returns whether the link of this balancer works.
-    fn decide_paths(&mut self, now: Duration) -> bool {
+    /// Decides on suspicions.
+    fn decide_paths(&mut self, now: Duration) {
         let (catalog, paths) = (&self.catalog, &self.paths);
         let open = |id: record::Id| {
             let target = catalog.target(id);
@@ -170,12 +163,6 @@
         for zone in self.paths.decide(now, in_touch) {
             self.path_changed(now, &zone, path::Change::Cut, None);
         }
-        in_touch
-    }
-
-    /// True when open flows into a zone are reset once they wait for an answer.
-    pub(super) fn may_reset_into(&self, now: Duration, zone: &str) -> bool {
-        self.paths.is_proven_cut(now, zone) && self.evidence.contact().is_proven(now)
     }
 
     fn look_for_end(&mut self, now: Duration, zone: &Arc<str>) {
@@ -193,19 +180,6 @@
         }
     }
 
-    /// Resets the open flows into a zone that is cut off for which a request waits in vain.
-    fn reset_waiting(&mut self, now: Duration, zone: &Arc<str>) {
-        if !self.may_reset_into(now, zone) {
-            return;
-        }
-        let catalog = &self.catalog;
-        let inside = |id| is_in(catalog, zone, id);
-        for (flow, target, acknowledged) in self.flows.take_waiting(now, UNANSWERED, inside) {
-            let silence = self.paths.cut_age(now, zone).unwrap_or_default();
-            self.reset_flow(flow, acknowledged, target, silence);
-        }
-    }
-
     /// Probes targets of a zone, drawn at random; returns how many.
     pub(super) fn probe_in(&mut self, now: Duration, zone: &str, most: usize) -> u32 {
         let lot = self.draw();
@@ -235,12 +209,8 @@
         self.log_path(now, zone, told_by);
         let peers = self.fleet.sample_near(now, TOLD_PEERS);
         self.send_path(now, peers, zone);
-        match change {
-            path::Change::Cut if told_by.is_some() => {
-                self.probe_in(now, zone, PROOF_TARGETS);
-            }
-            path::Change::Cut => {}
-            path::Change::Opened => self.excuse_targets(now, zone),
+        if change == path::Change::Opened {
+            self.excuse_targets(now, zone);
         }
         self.check_rotation_now(now);
     }
--- a/crates/mulberrynotch_steer/src/machine/time.rs
+++ b/crates/mulberrynotch_steer/src/machine/time.rs
@@ -35,13 +35,13 @@
     }
 
     pub(super) fn check_targets(&mut self, now: Duration) {
-        // A cut explains the silence of the targets behind it.
+        // A cut explains the silence of the targets behind it; they are not probed again and again.
         let lot = self.draw();
         let (catalog, paths, fleet) = (&self.catalog, &self.paths, &self.fleet);
         let reached = |id| partition::is_reached(catalog, paths, id);
         let probes = |id| doubt::probes_for_zone(fleet, now, id);
         let due = self.evidence.due(now, reached, probes, lot);
-        let ripe = self.evidence.ripen(now, reached);
+        let ripe = self.evidence.ripen(now);
         for target in due {
             self.probe(target);
         }
--- a/crates/mulberrynotch_steer/src/path.rs
+++ b/crates/mulberrynotch_steer/src/path.rs
@@ -46,14 +46,6 @@
 /// of their zone.
 const PROBE_PERIOD: Duration = Duration::from_millis(600);
 
-/// Silence of a zone from which open flows into it are reset; longer than a loss and one
-/// retransmission.
-const PROVEN_SILENCE: Duration = Duration::from_millis(450);
-
-/// Probes of targets that fail before open flows into their zone are reset; one may meet a target
-/// that has ended.
-const PROOF_PROBES: u32 = 2;
-
 /// Time without suspicion after a target answered whose zone's balancers did not.
 const CALM: Duration = Duration::from_millis(1_000);
 
@@ -108,13 +100,9 @@
     proven_at: Option<Duration>,
     /// Latest time from which on nothing arrived.
     cut_at: Option<Duration>,
-    /// When a target of the zone last made progress as seen here.
-    progress_at: Option<Duration>,
     suspicion: Option<Suspicion>,
     asked_at: Option<Duration>,
     probed_at: Option<Duration>,
-    /// Probes of this balancer that did not reach a target during the cut.
-    failed_probes: u32,
 }
 
 impl Path {
@@ -127,7 +115,6 @@
         let was_cut = self.is_cut();
         self.shared = false;
         self.alone = false;
-        self.failed_probes = 0;
         was_cut
     }
 
@@ -233,31 +220,10 @@
         self.paths.get(zone)?.cut_at
     }
 
-    /// Time since the cut of a zone began.
-    pub fn cut_age(&self, now: Duration, zone: &str) -> Option<Duration> {
-        let path = self.paths.get(zone).filter(|it| it.is_cut())?;
-        path.cut_at.map(|at| now.saturating_sub(at))
-    }
-
-    /// True when open flows into a zone may be reset: it is cut off, this balancer's own probes did
-    /// not get there, and no target of it has made progress for longer than a retransmission takes.
-    pub fn is_proven_cut(&self, now: Duration, zone: &str) -> bool {
-        let silent = |at: Duration| now.saturating_sub(at) >= PROVEN_SILENCE;
-        let path = self.paths.get(zone).filter(|it| it.is_cut());
-        path.is_some_and(|it| {
-            let probed = it.failed_probes >= PROOF_PROBES;
-            probed && it.progress_at.is_none_or(silent) && it.cut_at.is_some_and(silent)
-        })
-    }
-
     /// Notes that a probe of this balancer did not reach a target of a zone.
     pub fn probe_failed(&mut self, zone: &str) {
-        let Some(path) = self.paths.get_mut(zone) else {
-            return;
-        };
-        if path.is_cut() {
-            path.failed_probes = path.failed_probes.saturating_add(1);
-        } else if let Some(suspicion) = &mut path.suspicion {
+        let path = self.paths.get_mut(zone);
+        if let Some(suspicion) = path.and_then(|it| it.suspicion.as_mut()) {
             suspicion.failed_probes = suspicion.failed_probes.saturating_add(1);
         }
     }
@@ -324,12 +290,6 @@
         (later && path.open()).then_some(Change::Opened)
     }
 
-    /// Notes that a target of a zone made progress, whichever packet it answers.
-    pub fn progress(&mut self, now: Duration, zone: &Arc<str>) {
-        let path = self.paths.entry(zone.clone()).or_default();
-        path.progress_at = Some(now);
-    }
-
     /// Takes in the word of a peer of the own zone.
     pub fn told(&mut self, now: Duration, zone: &Arc<str>, word: Word) -> Merge {
         let path = self.paths.entry(zone.clone()).or_default();
@@ -433,7 +393,6 @@
             };
             if in_touch && suspicion.is_confirmed(now) {
                 path.cut_at = Some(suspicion.since);
-                path.failed_probes = suspicion.failed_probes;
                 path.suspicion = None;
                 path.found = true;
                 let disputed = |at: Duration| now.saturating_sub(at) < DISPUTE;
--- a/crates/mulberrynotch_steer/tests/partition.rs
+++ b/crates/mulberrynotch_steer/tests/partition.rs
@@ -241,6 +241,24 @@
     assert!(probed * 10 <= flows, "{probed} probes, {flows} flows");
 }
 
+/// Guards against resets of open flows on a belief about their zone: it has no balancer, and all its
+/// targets for new flows have ended, so it looks cut off; the flows of one that drains go on.
+#[test]
+fn a_cut_resets_no_flow_of_a_target_that_lives() {
+    let mut world = world(6);
+    world.set_out("a", true);
+    world.set_out("c", true);
+    world
+        .dead
+        .extend((0..6).map(|place| address(40 + place, 7_000)));
+    world.dark.extend([10, 11, 12]);
+    world.drain(13);
+    world.deaf.insert(13);
+    world.run(1_500);
+    world.request_through_all(13);
+    assert_eq!(world.resets_of_living, 0);
+}
+
 /// Guards against a zone that is avoided by turns, because its balancers are gone and half of its
 /// targets too, while the others answer.
 #[test]
