--- a/crates/mulberrynotch_steer/src/path.rs
+++ b/crates/mulberrynotch_steer/src/path.rs
@@ -3,7 +3,8 @@
 //!
 //! A partition fails all targets behind it at once. Flows that fail there make the zone suspected;
 //! then balancers of that zone are asked for an answer, and the silence of several of them together
-//! with that of a target is taken for a cut. What is proven later than the cut began ends it.
+//! with that of a target and of probes is taken for a cut. What is proven later than the cut began
+//! ends it.
 //!
 //! Each cut has a number, one more than the last that its finder knew of. Among the words of peers a
 //! higher number wins, and for one number the word that the path is open; so the order of messages
