Use one piece for what the beliefs on paths and the catalog wrote twice

Cause: read over the whole change, the check for a removal that is acted on stood twice in the catalog, two lists of suspected zones differed in one condition, and a log line built the beliefs on all paths to use one. Change: Target::is_removed, Table::suspected and Table::belief. No decision, bound or test changes.

--- a/crates/mulberrynotch_steer/src/catalog.rs
+++ b/crates/mulberrynotch_steer/src/catalog.rs
@@ -176,7 +176,7 @@
     pub fn exclusion(&self, now: Duration, target: &Target) -> Option<Exclusion> {
         if target.ended {
             Some(Exclusion::Ended)
-        } else if target.removed_at.is_some() && now >= target.kept_until {
+        } else if target.is_removed(now) {
             Some(Exclusion::Removed)
         } else if target.entry.draining {
             Some(Exclusion::Draining)
@@ -190,8 +190,7 @@
 
     /// True while a target runs as far as the register tells, whether it takes new flows or not.
     pub fn target_lives(&self, now: Duration, target: &Target) -> bool {
-        let removed = target.removed_at.is_some() && now >= target.kept_until;
-        !target.ended && !removed
+        !target.ended && !target.is_removed(now)
     }
 
     /// True while a zone is out of service.
--- a/crates/mulberrynotch_steer/src/catalog/target.rs
+++ b/crates/mulberrynotch_steer/src/catalog/target.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// True once a removal of the entry is acted on.
+    pub(super) fn is_removed(&self, now: Duration) -> bool {
+        self.removed_at.is_some() && now >= self.kept_until
+    }
+
     /// True when the target started after another one. Its entry must be the later one too, since
     /// the time of day of a VM may be set back.
     pub(super) fn follows(&self, other: &Self) -> bool {
--- a/crates/mulberrynotch_steer/src/machine/partition.rs
+++ b/crates/mulberrynotch_steer/src/machine/partition.rs
@@ -238,9 +238,7 @@
     }
 
     fn log_path(&mut self, now: Duration, zone: &Arc<str>, told_by: Option<SocketAddrV4>) {
-        let beliefs = self.paths.beliefs(now);
-        let belief = beliefs.into_iter().find(|it| it.zone == *zone);
-        if let Some(belief) = belief {
+        if let Some(belief) = self.paths.belief(now, zone) {
             self.log(Event::Path {
                 zone: zone.clone(),
                 state: belief.state,
--- a/crates/mulberrynotch_steer/src/path.rs
+++ b/crates/mulberrynotch_steer/src/path.rs
@@ -246,12 +246,7 @@
 
     /// Suspected zones whose targets have not been probed.
     pub fn unprobed(&self) -> Vec<Arc<str>> {
-        let due = |it: &Suspicion| it.probes.is_none();
-        let paths = self.paths.iter();
-        paths
-            .filter(|(_, path)| path.suspicion.as_ref().is_some_and(due))
-            .map(|(zone, _)| zone.clone())
-            .collect()
+        self.suspected(|it| it.probes.is_none())
     }
 
     /// Notes that `count` targets of a suspected zone are being probed.
@@ -364,12 +359,16 @@
 
     /// Zones of which balancers are to be asked now because they are suspected.
     pub fn questions(&self, now: Duration) -> Vec<Arc<str>> {
-        let due = |it: &Suspicion| {
+        self.suspected(|it| {
             it.questions < QUESTIONS && it.asked_at.is_none_or(|at| now >= at + PERIOD)
-        };
+        })
+    }
+
+    /// Suspected zones whose suspicion is `due` for something.
+    fn suspected(&self, due: impl Fn(&Suspicion) -> bool) -> Vec<Arc<str>> {
         let paths = self.paths.iter();
         paths
-            .filter(|(_, path)| path.suspicion.as_ref().is_some_and(due))
+            .filter(|(_, path)| path.suspicion.as_ref().is_some_and(&due))
             .map(|(zone, _)| zone.clone())
             .collect()
     }
@@ -433,8 +432,15 @@
 
     /// The beliefs and what they rest on.
     pub fn beliefs(&self, now: Duration) -> Vec<Belief> {
+        let zones = self.paths.keys();
+        zones.filter_map(|zone| self.belief(now, zone)).collect()
+    }
+
+    /// The belief on the path to a zone and what it rests on; `None` where nothing was seen of it.
+    pub fn belief(&self, now: Duration, zone: &Arc<str>) -> Option<Belief> {
+        let path = self.paths.get(zone)?;
         let age = |at: Option<Duration>| at.map(|at| now.saturating_sub(at));
-        let beliefs = self.paths.iter().map(|(zone, path)| Belief {
+        Some(Belief {
             zone: zone.clone(),
             state: self.state(zone),
             alone: path.alone,
@@ -442,8 +448,7 @@
             cut: age(path.cut_at),
             failed_targets: path.suspicion.as_ref().map_or(0, |it| it.targets.len()),
             questions: path.suspicion.as_ref().map_or(0, |it| it.questions),
-        });
-        beliefs.collect()
+        })
     }
 }
 
