--- a/crates/mulberrynotch_net/src/http.rs
+++ b/crates/mulberrynotch_net/src/http.rs
@@ -47,6 +47,8 @@
 pub struct Response {
     /// Status code.
     pub status: http::StatusCode,
+    /// Header fields.
+    pub headers: http::HeaderMap,
     /// Complete body.
     pub body: bytes::Bytes,
 }
@@ -78,9 +80,14 @@
     let exchange = async {
         let response = sender.send_request(request).await?;
         let status = response.status();
+        let headers = response.headers().clone();
         let body = Limited::new(response.into_body(), limit);
         let body = body.collect().await.map_err(|_| Error::Body)?.to_bytes();
-        Ok(Response { status, body })
+        Ok(Response {
+            status,
+            headers,
+            body,
+        })
     };
     // The exchange needs the connection to be polled; the connection may finish before the exchange.
     tokio::pin!(exchange);
--- a/crates/mulberrynotch_net/src/steer/log.rs
+++ b/crates/mulberrynotch_net/src/steer/log.rs
@@ -31,6 +31,9 @@
 static PATHS: event::Limiter = event::Limiter::with_limit(STATE_LINES_PER_SECOND, WINDOW_MS);
 static MEMBERS: event::Limiter = event::Limiter::with_limit(STATE_LINES_PER_SECOND, WINDOW_MS);
 
+/// Limit on lines about complete reads of the store.
+static READS: event::Limiter = event::Limiter::with_limit(20, WINDOW_MS);
+
 struct Flow(packet::Flow);
 
 impl fmt::Display for Flow {
@@ -255,7 +258,22 @@
             event::warn("store_lost", &[("register_age_ms", &Millis(*age))]);
         }
         Event::StoreRegained => event::info("store_regained", &[]),
-        Event::HistoryLost { as_of } => event::warn("store_history_lost", &[("as_of", as_of)]),
+        Event::HistoryLost { as_of, era } => write_limited(
+            &READS,
+            now,
+            "store_history_lost",
+            &[("as_of", as_of), ("era", era)],
+        ),
+        Event::Listed {
+            before,
+            as_of,
+            records,
+        } => write_limited(
+            &READS,
+            now,
+            "store_listed",
+            &[("before", before), ("as_of", as_of), ("records", records)],
+        ),
         Event::Pulled { from, as_of } => {
             event::info("register_fetched", &[("peer", from), ("as_of", as_of)]);
         }
--- a/crates/mulberrynotch_standin/src/emulator/store.rs
+++ b/crates/mulberrynotch_standin/src/emulator/store.rs
@@ -4,7 +4,8 @@
 
 use mulberrynotch_steer::{
     reader,
-    record, //
+    record,
+    revision, //
 };
 
 /// A pending watch of a balancer.
@@ -40,6 +41,13 @@
         });
     }
 
+    fn as_of(&self) -> revision::Revision {
+        revision::Revision {
+            era: 0,
+            number: self.revision,
+        }
+    }
+
     /// Returns the present records, or `TooMany` when they exceed the limit of a short read.
     pub(super) fn list(&self, short: bool) -> reader::Answer {
         if short && self.records.len() > reader::SHORT_LIST {
@@ -47,7 +55,7 @@
         }
         let present = self.records.iter().filter(|it| it.removed_ms.is_none());
         reader::Answer::Listed {
-            as_of: self.revision,
+            as_of: self.as_of(),
             records: present.cloned().collect(),
         }
     }
@@ -61,7 +69,7 @@
         let is_finished = |it: &mut Watch| revision > it.after || now >= it.deadline;
         let finished: Vec<_> = self.watches.extract_if(.., is_finished).collect();
         let answer = |watch: &Watch| reader::Answer::Changed {
-            as_of: revision,
+            as_of: self.as_of(),
             records: self
                 .records
                 .iter()
--- a/crates/mulberrynotch_steer/src/lib.rs
+++ b/crates/mulberrynotch_steer/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod ramp;
 pub mod reader;
 pub mod record;
+pub mod revision;
 pub mod rotation;
 
 /// Modules that most users of this crate import.
--- a/crates/mulberrynotch_steer/src/machine/event.rs
+++ b/crates/mulberrynotch_steer/src/machine/event.rs
@@ -11,7 +11,8 @@
     evidence,
     packet,
     path,
-    record, //
+    record,
+    revision, //
 };
 
 mulberrynotch_macros::value! {
@@ -160,6 +161,17 @@
         HistoryLost {
             /// Revision up to which every change was known.
             as_of: u64,
+            /// Era of the store.
+            era: u64,
+        },
+        /// All records were read from the store.
+        Listed {
+            /// Revision up to which every change was known before.
+            before: u64,
+            /// Revision as of which the records are current.
+            as_of: revision::Revision,
+            /// Number of records.
+            records: usize,
         },
         /// Records were fetched from a peer.
         Pulled {
--- a/crates/mulberrynotch_steer/src/machine/store.rs
+++ b/crates/mulberrynotch_steer/src/machine/store.rs
@@ -38,13 +38,19 @@
     ) {
         match (call, answer) {
             (_, Some(reader::Answer::Listed { as_of, records })) => {
-                self.listed(now, as_of, records);
+                self.log(Event::Listed {
+                    before: self.catalog.as_of(),
+                    as_of,
+                    records: records.len(),
+                });
+                self.listed(now, as_of.number, records);
             }
             (reader::Call::Watch { after }, Some(reader::Answer::Changed { as_of, records })) => {
-                self.watched(now, after, as_of, records);
+                self.watched(now, after, as_of.number, records);
             }
             (_, Some(reader::Answer::TooMany)) => self.list_too_long(now),
-            (_, Some(_)) => self.history_lost(now),
+            (_, Some(reader::Answer::HistoryLost { era })) => self.history_lost(now, era),
+            (_, Some(_)) => self.call_failed(now),
             (_, None) => self.call_failed(now),
         }
     }
@@ -78,10 +84,10 @@
     }
 
     /// Handles a watch whose history the store no longer has.
-    pub fn history_lost(&mut self, now: Duration) {
+    pub fn history_lost(&mut self, now: Duration, era: u64) {
         self.end_call(now, reader::Outcome::HistoryLost);
         let as_of = self.catalog.as_of();
-        self.log(Event::HistoryLost { as_of });
+        self.log(Event::HistoryLost { as_of, era });
     }
 
     /// Handles a short read that was aborted because the store holds more than
--- a/crates/mulberrynotch_steer/src/reader.rs
+++ b/crates/mulberrynotch_steer/src/reader.rs
@@ -5,7 +5,10 @@
 
 use std::time::Duration;
 
-use crate::record;
+use crate::{
+    record,
+    revision, //
+};
 
 /// Time for which the store holds a watch open without a change.
 pub const WATCH_WAIT: Duration = Duration::from_millis(2_000);
@@ -75,19 +78,22 @@
         /// All records.
         Listed {
             /// Revision as of which the records are current; they may be newer.
-            as_of: u64,
+            as_of: revision::Revision,
             /// The records.
             records: Vec<record::Record>,
         },
         /// Changed records in order of revision.
         Changed {
             /// Revision up to which every change is contained.
-            as_of: u64,
+            as_of: revision::Revision,
             /// The records.
             records: Vec<record::Record>,
         },
         /// The store no longer has the requested history.
-        HistoryLost,
+        HistoryLost {
+            /// Era of the store.
+            era: u64,
+        },
         /// The store has more records than a short read returns.
         TooMany,
     }
