--- a/benches/benches/steer.rs
+++ b/benches/benches/steer.rs
@@ -22,7 +22,8 @@
     machine,
     message,
     packet,
-    record, //
+    record,
+    revision, //
 };
 
 /// Numbers of targets and services.
@@ -51,9 +52,10 @@
     };
     record::Record {
         key: record::Key::Target(record::Id(id)),
-        revision,
+        revision: revision::Revision::undated(revision),
         body: Some(record::Body::Target(target)),
         removed_ms: None,
+        unconfirmed: false,
     }
 }
 
@@ -73,9 +75,10 @@
     };
     record::Record {
         key: record::Key::Configuration,
-        revision: 1,
+        revision: revision::Revision::undated(1),
         body: Some(record::Body::Configuration(Arc::new(configuration))),
         removed_ms: None,
+        unconfirmed: false,
     }
 }
 
@@ -91,7 +94,7 @@
     machine.tick(START);
     let mut records = vec![configuration(services)];
     records.extend((1..=targets).map(|id| target(id, services, id)));
-    machine.listed(START, 10_000, records);
+    machine.listed(START, revision::Revision::undated(10_000), records);
     machine.take_actions();
     machine
 }
@@ -150,7 +153,8 @@
             b.iter(|| {
                 revision += 1;
                 let changed = vec![target(3, services, revision)];
-                machine.watched(START, revision - 1, revision, changed);
+                let [before, after] = [revision - 1, revision].map(revision::Revision::undated);
+                machine.watched(START, before, after, changed);
                 machine.take_actions()
             });
         });
--- a/crates/mulberrynotch_net/src/steer/dump.rs
+++ b/crates/mulberrynotch_net/src/steer/dump.rs
@@ -28,7 +28,7 @@
                     "zone": target.entry.zone,
                     "address": target.entry.address,
                     "state": format!("{:?}", target.state(now)),
-                    "revision": target.revision,
+                    "revision": target.revision.to_string(),
                     "verdict": format!("{:?}", machine.evidence().verdict(target.id)),
                     "silent_ms": millis(machine.evidence().silence(now, target.id)),
                     "load": machine.load().recent_requests(now, target.id),
@@ -41,7 +41,8 @@
             "zone": self.settings.zone,
             "ready": machine.is_ready(),
             "register": {
-                "as_of": catalog.as_of(),
+                "as_of": catalog.as_of().to_string(),
+                "unconfirmed": catalog.unconfirmed().count(),
                 "age_ms": machine.age(now).map(millis),
                 "version": catalog.configuration().version,
                 "routes": catalog.configuration().routes.len(),
@@ -76,6 +77,11 @@
         metrics::gauge!("mulberrynotch_in_rotation").set(ready);
         let cut = u32::try_from(machine.paths().cut_zones().count()).unwrap_or(u32::MAX);
         metrics::gauge!("mulberrynotch_cut_zones").set(f64::from(cut));
+        let catalog = machine.catalog();
+        let era = u32::try_from(catalog.as_of().era).unwrap_or(u32::MAX);
+        metrics::gauge!("mulberrynotch_store_era").set(f64::from(era));
+        let unconfirmed = u32::try_from(catalog.unconfirmed().count()).unwrap_or(u32::MAX);
+        metrics::gauge!("mulberrynotch_unconfirmed_records").set(f64::from(unconfirmed));
         let age = machine.age(now).unwrap_or(now);
         metrics::gauge!("mulberrynotch_register_age_seconds").set(age.as_secs_f64());
         let live = u32::try_from(machine.fleet().live_anywhere(now).count()).unwrap_or(u32::MAX);
--- a/crates/mulberrynotch_net/src/steer/log.rs
+++ b/crates/mulberrynotch_net/src/steer/log.rs
@@ -10,7 +10,8 @@
     catalog,
     machine,
     packet,
-    record, //
+    record,
+    revision, //
 };
 
 use crate::event;
@@ -31,8 +32,8 @@
 static PATHS: event::Limiter = event::Limiter::with_limit(STATE_LINES_PER_SECOND, WINDOW_MS);
 static MEMBERS: event::Limiter = event::Limiter::with_limit(STATE_LINES_PER_SECOND, WINDOW_MS);
 
-/// Limit on lines about complete reads of the store.
-static READS: event::Limiter = event::Limiter::with_limit(20, WINDOW_MS);
+static READS: event::Limiter = event::Limiter::with_limit(STATE_LINES_PER_SECOND, WINDOW_MS);
+static KEPT: event::Limiter = event::Limiter::with_limit(STATE_LINES_PER_SECOND, WINDOW_MS);
 
 struct Flow(packet::Flow);
 
@@ -42,6 +43,19 @@
     }
 }
 
+/// Kind and name of a record.
+struct Key<'a>(&'a record::Key);
+
+impl fmt::Display for Key<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            record::Key::Configuration => write!(f, "configuration"),
+            record::Key::ZoneOut(zone) => write!(f, "zone/{zone}"),
+            record::Key::Target(id) => write!(f, "target/{:x}", id.0),
+        }
+    }
+}
+
 struct Target(record::Id);
 
 impl fmt::Display for Target {
@@ -295,7 +309,7 @@
     }
 }
 
-fn write_change(now: Duration, change: &catalog::Change, as_of: u64) {
+fn write_change(now: Duration, change: &catalog::Change, as_of: revision::Revision) {
     match change {
         catalog::Change::Configuration { version } => {
             event::info("configuration", &[("version", version), ("as_of", &as_of)])
@@ -303,6 +317,23 @@
         catalog::Change::Zone { zone, out } => {
             event::info("zone", &[("zone", zone), ("out", out), ("as_of", &as_of)])
         }
+        catalog::Change::Restored { before, as_of } => {
+            event::warn("store_restored", &[("before", before), ("as_of", as_of)]);
+        }
+        catalog::Change::Kept { key, revision } => write_limited(
+            &KEPT,
+            now,
+            "record_kept",
+            &[
+                ("key", &Key(key)),
+                ("revision", revision),
+                ("as_of", &as_of),
+            ],
+        ),
+        catalog::Change::Refused { version, revision } => event::warn(
+            "configuration_refused",
+            &[("version", version), ("revision", revision)],
+        ),
         catalog::Change::Ended { id } => write_limited(
             &TARGETS,
             now,
--- a/crates/mulberrynotch_net/src/steer/peer.rs
+++ b/crates/mulberrynotch_net/src/steer/peer.rs
@@ -28,7 +28,7 @@
 use crate::event;
 
 /// First byte of each message, which identifies its format; changes whenever the messages change.
-const FORMAT_TAG: u8 = 0x54;
+const FORMAT_TAG: u8 = 0x55;
 
 /// Largest datagram between balancers; most are far smaller.
 const MAX_DATAGRAM_BYTES: usize = 8_192;
--- a/crates/mulberrynotch_net/src/steer/route.rs
+++ b/crates/mulberrynotch_net/src/steer/route.rs
@@ -74,7 +74,7 @@
             "target_address": entry.map(|it| it.entry.address),
             "service": explanation.service,
             "version": explanation.version,
-            "as_of": explanation.as_of,
+            "as_of": explanation.as_of.to_string(),
             "register_age_ms": explanation.age.map(core::millis),
             "balancer": self.settings.name,
             "paths": dump::paths(&machine, now),
--- a/crates/mulberrynotch_standin/src/emulator/fault.rs
+++ b/crates/mulberrynotch_standin/src/emulator/fault.rs
@@ -15,6 +15,12 @@
 /// Time until the store drops the entry of an unresponsive target.
 const ENTRY_TIMEOUT: Duration = Duration::from_millis(3_600);
 
+/// Interval between the heartbeats of a target, in milliseconds.
+const HEARTBEAT_MS: u64 = 1_200;
+
+/// Time until an operator has written again what the store lost.
+const OPERATOR_DELAY: Duration = Duration::from_millis(30);
+
 /// Time that a draining target keeps serving before it stops.
 const DRAIN_TIME: Duration = Duration::from_millis(4_000);
 
@@ -42,6 +48,9 @@
     HealCut(usize),
     RestoreZone(usize),
     RestoreStore(bool),
+    CopyStore,
+    ReturnStore,
+    Write(record::Record),
     PublishTargets(Vec<u64>),
     RestoreClients(Vec<usize>),
     EndBurst,
@@ -108,6 +117,11 @@
                 self.store.down = true;
                 self.schedule_followup(seconds(lasts), Followup::RestoreStore(lapse));
             }
+            Fault::StoreRestored { lasts, .. } => {
+                self.store.down = true;
+                self.schedule_followup(seconds(lasts), Followup::ReturnStore);
+            }
+            Fault::ConfigurationPublished { .. } => self.publish_configuration(),
             Fault::ClientsMoved {
                 zone,
                 percent,
@@ -158,6 +172,9 @@
                 self.store.put(key, None);
             }
             Followup::RestoreStore(lapse) => self.restore_store(lapse),
+            Followup::CopyStore => self.store.copy(),
+            Followup::ReturnStore => self.return_store(),
+            Followup::Write(record) => self.store.put(record.key, record.body),
             Followup::PublishTargets(ids) => {
                 for id in ids {
                     self.publish_target(id, Duration::ZERO);
@@ -221,6 +238,19 @@
         }
     }
 
+    /// Ends an outage of the store, which returns from its copy. Targets write their entries again
+    /// with their next heartbeats, and operators at once.
+    fn return_store(&mut self) {
+        self.store.down = false;
+        for record in self.store.restore() {
+            let wait = match record.key {
+                record::Key::Target(_) => Duration::from_millis(self.random.below(HEARTBEAT_MS)),
+                _ => OPERATOR_DELAY,
+            };
+            self.schedule_followup(wait, Followup::Write(record));
+        }
+    }
+
     /// Ends an outage of the store. With `lapse`, the entries of all targets that serve are removed
     /// and written again 900 ms later.
     fn restore_store(&mut self, lapse: bool) {
--- a/crates/mulberrynotch_standin/src/emulator/plan.rs
+++ b/crates/mulberrynotch_standin/src/emulator/plan.rs
@@ -125,6 +125,21 @@
         /// at its end and written again 900 ms later.
         lapse: bool,
     },
+    /// The store does not answer, and returns from an older copy of itself. Operators and targets
+    /// write again what it has lost.
+    StoreRestored {
+        /// Start.
+        at: f64,
+        /// Duration, in seconds.
+        lasts: f64,
+        /// Age of the copy at the start, in seconds.
+        age: f64,
+    },
+    /// A configuration with the next version is published.
+    ConfigurationPublished {
+        /// Start.
+        at: f64,
+    },
     /// Users of other zones are routed to one zone.
     ClientsMoved {
         /// Start.
@@ -184,6 +199,8 @@
             | Self::ZoneCut { at, .. }
             | Self::ZoneOut { at, .. }
             | Self::StoreDown { at, .. }
+            | Self::StoreRestored { at, .. }
+            | Self::ConfigurationPublished { at, .. }
             | Self::ClientsMoved { at, .. }
             | Self::Burst { at, .. } => *at,
         }
--- a/crates/mulberrynotch_standin/src/emulator/report.rs
+++ b/crates/mulberrynotch_standin/src/emulator/report.rs
@@ -43,6 +43,8 @@
     pub misrouted_packets: u64,
     /// Number of opening packets that reached targets published as draining for over 3 s.
     pub late_openings: u64,
+    /// Number of opening packets handled by a configuration that had been replaced for over 3 s.
+    pub outdated_openings: u64,
     /// Number of calls to the store.
     pub store_calls: u64,
     /// Number of messages between balancers.
--- a/crates/mulberrynotch_standin/src/emulator/store.rs
+++ b/crates/mulberrynotch_standin/src/emulator/store.rs
@@ -1,4 +1,4 @@
-//! The store of the simulated platform: versioned records, watches and outages.
+//! The store of the simulated platform: versioned records, watches, outages and returns from a copy.
 
 use std::time::Duration;
 
@@ -13,47 +13,82 @@
 pub(super) struct Watch {
     pub(super) balancer: usize,
     pub(super) incarnation: u64,
-    pub(super) after: u64,
+    pub(super) after: revision::Revision,
     pub(super) deadline: Duration,
 }
 
-/// Records of the store and the watches on them.
-#[derive(Debug, Default)]
-pub(super) struct Store {
+/// Contents of the store at a moment.
+#[derive(Clone, Debug, Default)]
+struct Contents {
     records: Vec<record::Record>,
     revision: u64,
+}
+
+/// Records of the store and the watches on them.
+#[derive(Debug)]
+pub(super) struct Store {
+    contents: Contents,
+    copy: Contents,
+    era: u64,
     pub(super) down: bool,
     pub(super) watches: Vec<Watch>,
     pub(super) calls: u64,
 }
 
 impl Store {
+    pub(super) fn new() -> Self {
+        Self {
+            contents: Contents::default(),
+            copy: Contents::default(),
+            era: 1,
+            down: false,
+            watches: Vec::new(),
+            calls: 0,
+        }
+    }
+
     /// Writes a record, or a removal when `body` is `None`.
     pub(super) fn put(&mut self, key: record::Key, body: Option<record::Body>) {
-        self.revision += 1;
-        self.records.retain(|it| it.key != key);
+        let contents = &mut self.contents;
+        contents.revision += 1;
+        contents.records.retain(|it| it.key != key);
         let removed_ms = body.is_none().then_some(0);
-        self.records.push(record::Record {
+        contents.records.push(record::Record {
             key,
-            revision: self.revision,
+            revision: revision::Revision::undated(contents.revision),
             body,
             removed_ms,
+            unconfirmed: false,
         });
     }
 
+    /// Copies the contents, for a later return from this copy.
+    pub(super) fn copy(&mut self) {
+        self.copy = self.contents.clone();
+    }
+
+    /// Returns from the copy. Returns the records that were written since the copy was made.
+    pub(super) fn restore(&mut self) -> Vec<record::Record> {
+        let lost = std::mem::replace(&mut self.contents, self.copy.clone());
+        self.era += 1;
+        let is_lost = |it: &record::Record| it.revision.number > self.copy.revision;
+        lost.records.into_iter().filter(is_lost).collect()
+    }
+
     fn as_of(&self) -> revision::Revision {
         revision::Revision {
-            era: 0,
-            number: self.revision,
+            era: self.era,
+            number: self.contents.revision,
         }
     }
 
     /// Returns the present records, or `TooMany` when they exceed the limit of a short read.
     pub(super) fn list(&self, short: bool) -> reader::Answer {
-        if short && self.records.len() > reader::SHORT_LIST {
+        let records = &self.contents.records;
+        if short && records.len() > reader::SHORT_LIST {
             return reader::Answer::TooMany;
         }
-        let present = self.records.iter().filter(|it| it.removed_ms.is_none());
+        let present = records.iter().filter(|it| it.removed_ms.is_none());
         reader::Answer::Listed {
             as_of: self.as_of(),
             records: present.cloned().collect(),
@@ -65,18 +100,29 @@
         if self.down {
             return Vec::new();
         }
-        let revision = self.revision;
-        let is_finished = |it: &mut Watch| revision > it.after || now >= it.deadline;
+        let revision = self.contents.revision;
+        let is_finished = |it: &mut Watch| revision != it.after.number || now >= it.deadline;
         let finished: Vec<_> = self.watches.extract_if(.., is_finished).collect();
-        let answer = |watch: &Watch| reader::Answer::Changed {
+        finished
+            .iter()
+            .map(|it| (*it, self.answer(it.after.number)))
+            .collect()
+    }
+
+    fn answer(&self, after: u64) -> reader::Answer {
+        let era = self.era;
+        if after > self.contents.revision {
+            return reader::Answer::HistoryLost { era };
+        }
+        let records = self.contents.records.iter();
+        let changed = records.filter(|it| it.revision.number > after).cloned();
+        let dated = changed.map(|it| record::Record {
+            revision: revision::Revision { era, ..it.revision },
+            ..it
+        });
+        reader::Answer::Changed {
             as_of: self.as_of(),
-            records: self
-                .records
-                .iter()
-                .filter(|it| it.revision > watch.after)
-                .cloned()
-                .collect(),
-        };
-        finished.iter().map(|it| (*it, answer(it))).collect()
+            records: dated.collect(),
+        }
     }
 }
--- a/crates/mulberrynotch_standin/src/emulator/world.rs
+++ b/crates/mulberrynotch_standin/src/emulator/world.rs
@@ -32,7 +32,10 @@
     client,
     fault,
     link,
-    plan::Plan,
+    plan::{
+        Fault,
+        Plan, //
+    },
     report::Report,
     store,
     target, //
@@ -97,6 +100,7 @@
     pub(super) held_packets: Vec<packet::Packet>,
     pub(super) paused_until: Duration,
     pub(super) leaving: bool,
+    pub(super) started_at: Duration,
     /// Number of starts; events of earlier incarnations are dropped.
     pub(super) incarnation: u64,
     failed_checks: u32,
@@ -112,6 +116,8 @@
     pub(super) balancers: Vec<Balancer>,
     pub(super) targets: BTreeMap<u64, target::Target>,
     pub(super) store: store::Store,
+    /// Versions of the configuration with the times of their publication.
+    pub(super) published: Vec<(Duration, u64)>,
     pub(super) users: Vec<client::User>,
     pub(super) users_by_ip: HashMap<Ipv4Addr, usize>,
     pub(super) pause_factor: u64,
@@ -135,7 +141,8 @@
             now: EPOCH,
             balancers: Vec::new(),
             targets: BTreeMap::new(),
-            store: store::Store::default(),
+            store: store::Store::new(),
+            published: Vec::new(),
             users: Vec::new(),
             users_by_ip: HashMap::new(),
             pause_factor: 1,
@@ -167,6 +174,7 @@
                 held_packets: Vec::new(),
                 paused_until: Duration::ZERO,
                 leaving: false,
+                started_at: Duration::ZERO,
                 incarnation: 0,
                 failed_checks: 2,
             });
@@ -176,6 +184,10 @@
         self.schedule(HEALTH_CHECK_PERIOD, Event::HealthCheck);
         self.schedule(WATCH_CHECK_PERIOD, Event::CheckWatches);
         for (index, fault) in self.plan.faults.clone().iter().enumerate() {
+            if let Fault::StoreRestored { at, age, .. } = fault {
+                let copied_at = WARMUP + Duration::from_secs_f64((at - age).max(0.0));
+                self.schedule(copied_at, Event::Followup(fault::Followup::CopyStore));
+            }
             self.schedule(
                 WARMUP + Duration::from_secs_f64(fault.at()),
                 Event::InjectFault(index),
@@ -200,9 +212,12 @@
         }
     }
 
-    fn publish_configuration(&mut self) {
+    /// Writes the next version of the configuration to the store.
+    pub(super) fn publish_configuration(&mut self) {
+        let version = self.published.last().map_or(1, |(_, version)| version + 1);
+        self.published.push((self.now, version));
         let configuration = record::Configuration {
-            version: 1,
+            version,
             routes: vec![record::Route {
                 address: service_address(),
                 shares: vec![record::Share {
--- a/crates/mulberrynotch_standin/src/emulator/world/balancer.rs
+++ b/crates/mulberrynotch_standin/src/emulator/world/balancer.rs
@@ -37,6 +37,12 @@
 /// Time limit of a connection attempt to a target.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Longest time until a configuration is in effect.
+const CONFIGURATION_DELAY: Duration = Duration::from_secs(3);
+
+/// Time after the start of a balancer in which its configuration may be outdated.
+const START_TIME: Duration = Duration::from_secs(4);
+
 /// Duration of a pull between balancers: connection, request and answer.
 const PULL_DELAY: Duration = Duration::from_millis(2);
 
@@ -47,6 +53,7 @@
         let balancer = &mut self.balancers[index];
         balancer.incarnation += 1;
         balancer.leaving = false;
+        balancer.started_at = self.now;
         let member = message::Member {
             address: balancer.address,
             zone: Arc::from(format!("zone-{}", balancer.zone)),
@@ -261,9 +268,11 @@
         let Some(machine) = self.balancers[index].machine.as_mut() else {
             return;
         };
+        let version = machine.catalog().configuration().version;
         let verdict = machine.packet(now, &packet);
         let actions = machine.take_actions();
         self.execute(index, actions);
+        self.check_version(index, &packet, version);
         match verdict {
             machine::Verdict::Forward { target, cookie, .. } => {
                 let cookie = cookie.unwrap_or(packet.cookie);
@@ -278,6 +287,19 @@
         }
     }
 
+    /// Counts an opening packet that was handled by an outdated configuration.
+    fn check_version(&mut self, index: usize, packet: &packet::Packet, version: u64) {
+        let now = self.now;
+        let in_effect = self
+            .published
+            .iter()
+            .rfind(|(at, _)| now >= *at + CONFIGURATION_DELAY);
+        let is_outdated = in_effect.is_some_and(|(_, expected)| version < *expected);
+        let is_settled = now >= self.balancers[index].started_at + START_TIME;
+        let counts = packet.opens() && is_outdated && is_settled;
+        self.report.outdated_openings += u64::from(counts);
+    }
+
     /// Forwards statelessly, by rendezvous hashing over the targets listed in the store.
     fn forward_by_hash(&mut self, index: usize, packet: &packet::Packet) {
         if self.balancers[index].machine.is_none() {
--- a/crates/mulberrynotch_standin/tests/emulator.rs
+++ b/crates/mulberrynotch_standin/tests/emulator.rs
@@ -7,7 +7,7 @@
     report, //
 };
 
-const PLANS: [&str; 13] = [
+const PLANS: [&str; 14] = [
     include_str!("../../../examples/experiment/plans/balancers-paused.jsonc"),
     include_str!("../../../examples/experiment/plans/balancers-rolled.jsonc"),
     include_str!("../../../examples/experiment/plans/burst.jsonc"),
@@ -15,6 +15,7 @@
     include_str!("../../../examples/experiment/plans/clients-moved.jsonc"),
     include_str!("../../../examples/experiment/plans/power-lost.jsonc"),
     include_str!("../../../examples/experiment/plans/store-down.jsonc"),
+    include_str!("../../../examples/experiment/plans/store-restored.jsonc"),
     include_str!("../../../examples/experiment/plans/targets-dark.jsonc"),
     include_str!("../../../examples/experiment/plans/targets-replaced.jsonc"),
     include_str!("../../../examples/experiment/plans/targets-slow.jsonc"),
@@ -43,7 +44,7 @@
 }
 
 /// Guards against open flows that are misrouted or reset while their target serves, and against new
-/// flows on draining targets, under every plan.
+/// flows on draining targets or by an outdated configuration, under every plan.
 #[test]
 fn no_plan_breaks_a_flow_guarantee() {
     for text in PLANS {
@@ -54,8 +55,9 @@
                 report.false_resets,
                 report.misrouted_packets,
                 report.late_openings,
+                report.outdated_openings,
             );
-            assert_eq!(violations, (0, 0, 0), "{} seed {seed}", plan.name);
+            assert_eq!(violations, (0, 0, 0, 0), "{} seed {seed}", plan.name);
         }
     }
 }
--- a/crates/mulberrynotch_steer/src/catalog.rs
+++ b/crates/mulberrynotch_steer/src/catalog.rs
@@ -2,6 +2,7 @@
 
 mod export;
 mod merge;
+mod restore;
 mod target;
 
 use std::{
@@ -20,7 +21,10 @@
     Target, //
 };
 
-use crate::record;
+use crate::{
+    record,
+    revision, //
+};
 
 /// Shortest time for which a removed target is kept, so that packets of its open flows still reach
 /// it; flows last no longer than a minute.
@@ -46,7 +50,7 @@
             /// Identifier.
             id: record::Id,
             /// Revision of the entry.
-            revision: u64,
+            revision: revision::Revision,
             /// New state of the target.
             state: State,
             /// True when the target restarted under the same identifier.
@@ -57,8 +61,29 @@
             /// Identifier.
             id: record::Id,
         },
+        /// The store returned from an older copy of itself.
+        Restored {
+            /// Revision up to which every change was known before.
+            before: revision::Revision,
+            /// Revision up to which every change is known.
+            as_of: revision::Revision,
+        },
+        /// The store's copy lacks a record or shows it in an older state; what is known stays in
+        /// effect.
+        Kept {
+            /// Key of the record.
+            key: record::Key,
+            /// Revision of its last known change.
+            revision: revision::Revision,
+        },
+        /// A configuration was refused because it is invalid.
+        Refused {
+            /// Version of the configuration.
+            version: u64,
+            /// Revision of the record.
+            revision: revision::Revision,
+        },
     }
-
 }
 
 mulberrynotch_macros::value! {
@@ -77,11 +102,24 @@
     }
 }
 
+impl Change {
+    /// Returns the key of the record that changed; `None` for other changes.
+    pub fn key(&self) -> Option<record::Key> {
+        match self {
+            Self::Configuration { .. } => Some(record::Key::Configuration),
+            Self::Zone { zone, .. } => Some(record::Key::ZoneOut(zone.clone())),
+            Self::Target { id, .. } => Some(record::Key::Target(*id)),
+            Self::Kept { key, .. } => Some(key.clone()),
+            Self::Ended { .. } | Self::Restored { .. } | Self::Refused { .. } => None,
+        }
+    }
+}
+
 /// Copy of the register at a balancer.
 #[derive(Debug)]
 pub struct Catalog {
     configuration: Arc<record::Configuration>,
-    configuration_revision: u64,
+    configuration_revision: revision::Revision,
     routes: HashMap<SocketAddrV4, usize>,
     zones: BTreeMap<Arc<str>, Zone>,
     targets: BTreeMap<record::Id, Target>,
@@ -89,13 +127,20 @@
     /// Most recently started target at each address.
     addresses: HashMap<SocketAddrV4, record::Id>,
     services: HashMap<Arc<str>, BTreeSet<record::Id>>,
-    as_of: u64,
-    complete_since: u64,
+    as_of: revision::Revision,
+    complete_since: revision::Revision,
+    /// Era of the list that the undated records are from.
+    undated_era: u64,
+    /// Records that the store's copy lacks or shows in an older state, and the end of the time for
+    /// their writers to write them again.
+    doubts: BTreeMap<record::Key, Duration>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Zone {
-    revision: u64,
+    revision: revision::Revision,
+    /// Revision number of the record that took the zone out of service.
+    out_number: Option<u64>,
     out: bool,
     /// Time of the latest known return of the zone to service.
     returned_at: Option<Duration>,
@@ -105,32 +150,34 @@
     fn default() -> Self {
         Self {
             configuration: Arc::new(record::Configuration::empty()),
-            configuration_revision: 0,
+            configuration_revision: revision::Revision::START,
             routes: HashMap::new(),
             zones: BTreeMap::new(),
             targets: BTreeMap::new(),
             cookies: HashMap::new(),
             addresses: HashMap::new(),
             services: HashMap::new(),
-            as_of: 0,
-            complete_since: 0,
+            as_of: revision::Revision::START,
+            complete_since: revision::Revision::START,
+            undated_era: 0,
+            doubts: BTreeMap::new(),
         }
     }
 }
 
 impl Catalog {
     /// Returns the revision up to which every change is known.
-    pub fn as_of(&self) -> u64 {
+    pub fn as_of(&self) -> revision::Revision {
         self.as_of
     }
 
     /// Returns the revision from which every removal is known.
-    pub fn complete_since(&self) -> u64 {
+    pub fn complete_since(&self) -> revision::Revision {
         self.complete_since
     }
 
     /// Lowers the revision from which every removal is known to `complete_since`.
-    pub fn merge_complete_since(&mut self, complete_since: u64) {
+    pub fn merge_complete_since(&mut self, complete_since: revision::Revision) {
         self.complete_since = self.complete_since.min(complete_since);
     }
 
@@ -141,7 +188,7 @@
 
     /// Returns whether there are a configuration and a complete list of targets.
     pub fn is_usable(&self) -> bool {
-        self.as_of > 0 && self.configuration.version > 0
+        self.as_of != revision::Revision::START && self.configuration.version > 0
     }
 
     /// Returns the route of an address.
@@ -215,46 +262,96 @@
     pub fn apply_changes(
         &mut self,
         now: Duration,
-        since: u64,
-        as_of: u64,
+        since: revision::Revision,
+        as_of: revision::Revision,
         records: Vec<record::Record>,
     ) -> Vec<Change> {
-        let changes = self.merge(now, records);
-        if since <= self.as_of && self.as_of > 0 {
+        let mut changes = Vec::new();
+        if since <= self.as_of && self.as_of != revision::Revision::START {
+            if as_of.era > self.as_of.era {
+                changes.push(self.enter_era(as_of));
+                // The sender does not know these changes, so the store has lost them.
+                let lost = self.present_keys().filter(|(_, it)| *it > since);
+                let lost: Vec<_> = lost.map(|(key, _)| key).collect();
+                changes.extend(lost.into_iter().filter_map(|key| self.doubt(now, key)));
+            }
             self.as_of = self.as_of.max(as_of);
         }
+        let records = self.date_all(now, as_of, records, &mut changes);
+        changes.extend(self.merge(now, records));
         changes
     }
 
-    /// Merges the complete set of records present at `as_of`; older ones that are missing from it
-    /// are removed.
+    /// Merges the complete set of records present at `as_of`. Older ones that are missing from it
+    /// are removed, unless the store has returned from a copy since they were written.
     pub fn replace(
         &mut self,
         now: Duration,
-        as_of: u64,
-        mut records: Vec<record::Record>,
+        as_of: revision::Revision,
+        records: Vec<record::Record>,
     ) -> Vec<Change> {
+        if as_of.era < self.as_of.era {
+            return self.merge_lost(now, records);
+        }
+        let before = self.as_of;
+        let is_restored = before != revision::Revision::START && as_of.era > before.era;
         let listed: BTreeSet<record::Key> = records.iter().map(|it| it.key.clone()).collect();
+        let mut changes = Vec::new();
+        if is_restored {
+            changes.push(self.enter_era(as_of));
+        }
+        let mut records = self.date_all(now, as_of, records, &mut changes);
+        if before == revision::Revision::START {
+            self.undated_era = as_of.era;
+            self.complete_since = as_of;
+        }
+        if is_restored && as_of.number > before.number {
+            // Numbers above `before` may be from either era, so changes since then cannot be told.
+            self.complete_since = as_of;
+        }
+        self.as_of = self.as_of.max(as_of);
         let absent = self
             .present_keys()
             .filter(|(key, revision)| *revision <= as_of && !listed.contains(key));
-        records.extend(absent.map(|(key, _)| record::Record {
-            key,
-            revision: as_of,
-            body: None,
-            removed_ms: Some(0),
-        }));
-        let changes = self.merge(now, records);
-        if as_of > self.as_of {
-            if self.as_of == 0 {
-                self.complete_since = as_of;
+        let absent: Vec<_> = absent.collect();
+        for (key, revision) in absent {
+            if is_restored && revision.era < as_of.era {
+                changes.extend(self.doubt(now, key));
+            } else if self.doubts.get(&key).is_none_or(|until| now >= *until) {
+                self.doubts.remove(&key);
+                records.push(record::Record {
+                    revision: as_of,
+                    ..self.removal(key)
+                });
             }
-            self.as_of = as_of;
         }
+        changes.extend(self.merge(now, records));
         changes
     }
 
-    fn present_keys(&self) -> impl Iterator<Item = (record::Key, u64)> {
+    fn is_present(&self, key: &record::Key) -> bool {
+        match key {
+            record::Key::Configuration => true,
+            record::Key::ZoneOut(name) => self.is_zone_out(name),
+            record::Key::Target(id) => self
+                .targets
+                .get(id)
+                .is_some_and(|it| it.removed_at.is_none()),
+        }
+    }
+
+    /// Returns the revision of the last known change of a record.
+    fn revision_of(&self, key: &record::Key) -> Option<revision::Revision> {
+        match key {
+            record::Key::Configuration => {
+                (self.configuration.version > 0).then_some(self.configuration_revision)
+            }
+            record::Key::ZoneOut(name) => self.zones.get(name).map(|it| it.revision),
+            record::Key::Target(id) => self.targets.get(id).map(|it| it.revision),
+        }
+    }
+
+    fn present_keys(&self) -> impl Iterator<Item = (record::Key, revision::Revision)> {
         let targets = self
             .targets
             .values()
--- a/crates/mulberrynotch_steer/src/catalog/merge.rs
+++ b/crates/mulberrynotch_steer/src/catalog/merge.rs
@@ -1,4 +1,4 @@
-//! Merging of records. A record takes effect only if its revision is the highest one seen.
+//! Merging of records. A record takes effect only if its revision is the latest one seen.
 
 use std::{
     sync::Arc,
@@ -13,7 +13,8 @@
 };
 use crate::{
     cookie,
-    record, //
+    record,
+    revision, //
 };
 
 /// Fraction of the present targets whose simultaneous removal is a mass removal: one in this many.
@@ -64,24 +65,53 @@
         record: record::Record,
         mass_removal: bool,
     ) -> Option<Change> {
-        match record.key.clone() {
+        if self
+            .revision_of(&record.key)
+            .is_some_and(|known| known >= record.revision)
+            && record.key != record::Key::Configuration
+        {
+            return self.merge_doubt(now, &record);
+        }
+        let (key, unconfirmed) = (record.key.clone(), record.unconfirmed);
+        let is_current = record.revision.era == self.as_of.era;
+        let change = match key.clone() {
             record::Key::Configuration => self.merge_configuration(record),
             record::Key::ZoneOut(zone) => self.merge_zone(now, zone, &record),
             record::Key::Target(id) => self.merge_target(now, id, record, mass_removal),
+        };
+        if unconfirmed {
+            self.doubt(now, key);
+        } else if is_current {
+            self.doubts.remove(&key);
         }
+        change
+    }
+
+    /// Adopts a peer's doubt about a record that this process knows as well.
+    fn merge_doubt(&mut self, now: Duration, record: &record::Record) -> Option<Change> {
+        let is_known = self.revision_of(&record.key) == Some(record.revision);
+        let is_adopted = record.unconfirmed && is_known;
+        is_adopted.then(|| self.doubt(now, record.key.clone()))?
     }
 
     fn merge_configuration(&mut self, record: record::Record) -> Option<Change> {
         let Some(record::Body::Configuration(configuration)) = record.body else {
             return None;
         };
-        if configuration.version <= self.configuration.version {
+        let (known, known_revision) = (&self.configuration, self.configuration_revision);
+        if (configuration.version, record.revision) <= (known.version, known_revision) {
+            return None;
+        }
+        let (version, revision) = (configuration.version, record.revision);
+        if !configuration.is_valid() {
+            return Some(Change::Refused { version, revision });
+        }
+        self.configuration_revision = revision;
+        if version == known.version && configuration.digest() == known.digest() {
             return None;
         }
-        self.configuration_revision = record.revision;
         let routes = configuration.routes.iter().enumerate();
         self.routes = routes.map(|(index, it)| (it.address, index)).collect();
-        let version = configuration.version;
         self.configuration = configuration;
         Some(Change::Configuration { version })
     }
@@ -93,15 +123,16 @@
         record: &record::Record,
     ) -> Option<Change> {
         let zone = self.zones.entry(name.clone()).or_insert(Zone {
-            revision: 0,
+            revision: revision::Revision::START,
+            out_number: None,
             out: false,
             returned_at: None,
         });
-        if record.revision <= zone.revision {
-            return None;
-        }
         zone.revision = record.revision;
         let out = record.removed_ms.is_none();
+        if out {
+            zone.out_number = Some(record.revision.number);
+        }
         let changed = out != zone.out || (!out && zone.returned_at.is_none());
         zone.out = out;
         if let Some(age) = record.removed_ms {
@@ -119,16 +150,14 @@
         mass_removal: bool,
     ) -> Option<Change> {
         let known = self.targets.get(&id);
-        if known.is_some_and(|it| it.revision >= record.revision) {
-            return None;
-        }
         let started_before = known.map(|it| it.entry.started_ms);
         let removed_at = record.removed_ms.map(|age| {
             let before = known.and_then(|it| it.removed_at);
             before.unwrap_or_else(|| now.saturating_sub(Duration::from_millis(age.into())))
         });
         match record.body {
-            Some(record::Body::Target(entry)) => {
+            Some(record::Body::Target(mut entry)) => {
+                entry.draining |= known.is_some_and(|it| it.drains_beyond(&entry, record.revision));
                 self.insert(now, id, record.revision, entry, removed_at);
             }
             _ => self.remove(now, id, record.revision, mass_removal)?,
@@ -147,7 +176,7 @@
         &mut self,
         now: Duration,
         id: record::Id,
-        revision: u64,
+        revision: revision::Revision,
         entry: record::Target,
         removed_at: Option<Duration>,
     ) {
@@ -207,7 +236,7 @@
         &mut self,
         now: Duration,
         id: record::Id,
-        revision: u64,
+        revision: revision::Revision,
         mass_removal: bool,
     ) -> Option<()> {
         let target = self.targets.get_mut(&id)?;
--- a/crates/mulberrynotch_steer/src/catalog/target.rs
+++ b/crates/mulberrynotch_steer/src/catalog/target.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use super::age_ms;
-use crate::record;
+use crate::{
+    record,
+    revision, //
+};
 
 mulberrynotch_macros::data! {
     /// A target in the catalog.
@@ -13,10 +16,10 @@
         /// Entry that the target published.
         pub entry: record::Target,
         /// Revision of the last change, including a removal.
-        pub revision: u64,
+        pub revision: revision::Revision,
         /// Revision of the last entry that the target published itself; a removal does not change
         /// it.
-        pub written_revision: u64,
+        pub written_revision: revision::Revision,
         /// True when another target has its address: it has ended, and no packet reaches it.
         pub ended: bool,
         /// Time at which the target's warm-up ends.
@@ -73,7 +76,18 @@
             && self.written_revision > other.written_revision
     }
 
-    pub(super) fn to_record(&self, now: Duration) -> record::Record {
+    /// Returns whether the target keeps draining though a later entry says otherwise. A target does
+    /// not stop draining, so the store wrote an entry of its copy again.
+    pub(super) fn drains_beyond(
+        &self,
+        entry: &record::Target,
+        written: revision::Revision,
+    ) -> bool {
+        let is_restored = !self.revision.is_undated() && self.revision.era < written.era;
+        is_restored && self.entry.draining && self.entry.started_ms == entry.started_ms
+    }
+
+    pub(super) fn to_record(&self, now: Duration, unconfirmed: bool) -> record::Record {
         let cold = self.warm_at.saturating_sub(now).as_millis();
         let entry = record::Target {
             cold_ms: u32::try_from(cold).unwrap_or(u32::MAX),
@@ -84,6 +98,7 @@
             revision: self.revision,
             body: Some(record::Body::Target(entry)),
             removed_ms: self.removed_at.map(|at| age_ms(now, Some(at))),
+            unconfirmed,
         }
     }
 }
--- a/crates/mulberrynotch_steer/src/machine/event.rs
+++ b/crates/mulberrynotch_steer/src/machine/event.rs
@@ -148,7 +148,7 @@
             /// What changed.
             change: catalog::Change,
             /// Revision up to which every change is known.
-            as_of: u64,
+            as_of: revision::Revision,
         },
         /// Calls to the store began to fail.
         StoreLost {
@@ -160,14 +160,14 @@
         /// The store no longer has the history that a watch needs; all records are read again.
         HistoryLost {
             /// Revision up to which every change was known.
-            as_of: u64,
+            as_of: revision::Revision,
             /// Era of the store.
             era: u64,
         },
         /// All records were read from the store.
         Listed {
             /// Revision up to which every change was known before.
-            before: u64,
+            before: revision::Revision,
             /// Revision as of which the records are current.
             as_of: revision::Revision,
             /// Number of records.
@@ -178,7 +178,7 @@
             /// Peer address.
             from: SocketAddrV4,
             /// Revision up to which every change is known.
-            as_of: u64,
+            as_of: revision::Revision,
         },
         /// A member became live, or is no longer live.
         Member {
--- a/crates/mulberrynotch_steer/src/machine/explain.rs
+++ b/crates/mulberrynotch_steer/src/machine/explain.rs
@@ -17,7 +17,8 @@
     cookie,
     evidence,
     packet,
-    record, //
+    record,
+    revision, //
 };
 
 mulberrynotch_macros::data! {
@@ -52,7 +53,7 @@
         /// Version of the configuration.
         pub version: u64,
         /// Revision up to which every change is known.
-        pub as_of: u64,
+        pub as_of: revision::Revision,
         /// Age of the register.
         pub age: Option<Duration>,
     }
--- a/crates/mulberrynotch_steer/src/machine/fetch.rs
+++ b/crates/mulberrynotch_steer/src/machine/fetch.rs
@@ -15,7 +15,9 @@
 };
 use crate::{
     catalog,
-    message, //
+    message,
+    record,
+    revision, //
 };
 
 /// Time for peers of this zone to supply changes before a peer of another zone is used.
@@ -25,14 +27,22 @@
 /// Processes that started together have nearly the same history.
 const HISTORY_MARGIN: Duration = Duration::from_millis(1_000);
 
-/// Peer that has changes or removed targets which this process lacks.
+/// What a peer has.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct PullSource {
+pub(super) struct Offer {
+    pub(super) from: SocketAddrV4,
     /// Revision up to which the peer has every change.
-    as_of: u64,
+    pub(super) as_of: revision::Revision,
+    /// Version of the peer's configuration; 0 when it is unknown.
+    pub(super) version: u64,
     /// Time for which the peer has recorded removed targets, in milliseconds.
-    removal_history_ms: u32,
-    from: SocketAddrV4,
+    pub(super) removal_history_ms: u32,
+}
+
+/// Peer that has changes or removed targets which this process lacks.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PullSource {
+    offer: Offer,
     since: Duration,
 }
 
@@ -41,9 +51,8 @@
         let Some(pull_source) = self.pull_source else {
             return;
         };
-        let (from, since) = (pull_source.from, pull_source.since);
-        let lacks_removed = self.has_shorter_history(now, pull_source.removal_history_ms);
-        if self.catalog.as_of() >= pull_source.as_of && !lacks_removed {
+        let (offer, since) = (pull_source.offer, pull_source.since);
+        if !self.lacks(now, &offer) {
             self.pull_source = None;
             return;
         }
@@ -56,14 +65,23 @@
             Duration::ZERO
         };
         if !paused && now >= since + grace {
-            self.pull(now, from);
+            self.pull(now, offer.from);
         }
     }
 
+    /// Returns whether a peer has something that this process lacks. The store may have lost a
+    /// configuration that a peer of the same revision has.
+    fn lacks(&self, now: Duration, offer: &Offer) -> bool {
+        offer.as_of > self.catalog.as_of()
+            || offer.version > self.catalog.configuration().version
+            || self.has_shorter_history(now, offer.removal_history_ms)
+    }
+
     pub(super) fn pull(&mut self, now: Duration, from: SocketAddrV4) {
         self.pulled_at = Some(now);
         let pull = message::Pull {
             since: self.catalog.as_of(),
+            version: self.catalog.configuration().version,
             removed: self.lacks_removed(now),
         };
         self.actions.push(Action::Pull { from, pull });
@@ -83,7 +101,13 @@
         let may_use_remote =
             || self.fleet.live(now, &zone).next().is_none() || self.is_lagging(now);
         if same_zone || lacks_removed || may_use_remote() {
-            self.update_pull_source(now, from, heartbeat.as_of, heartbeat.removal_history_ms);
+            let offer = Offer {
+                from,
+                as_of: heartbeat.as_of,
+                version: heartbeat.version,
+                removal_history_ms: heartbeat.removal_history_ms,
+            };
+            self.update_pull_source(now, offer);
         }
     }
 
@@ -104,7 +128,8 @@
     fn lacks_removed(&self, now: Duration) -> bool {
         let pull_source = self.pull_source;
         !self.catalog.is_usable()
-            || pull_source.is_some_and(|it| self.has_shorter_history(now, it.removal_history_ms))
+            || pull_source
+                .is_some_and(|it| self.has_shorter_history(now, it.offer.removal_history_ms))
     }
 
     /// Returns whether the process has been behind for longer than peers of its zone need to supply
@@ -114,31 +139,33 @@
             .is_some_and(|it| now >= it.since + ZONE_GRACE)
     }
 
-    pub(super) fn update_pull_source(
-        &mut self,
-        now: Duration,
-        from: SocketAddrV4,
-        as_of: u64,
-        removal_history_ms: u32,
-    ) {
+    pub(super) fn update_pull_source(&mut self, now: Duration, offer: Offer) {
         let known = self.pull_source;
         let since = known.map_or(now, |it| it.since);
-        let lacks_removed = self.has_shorter_history(now, removal_history_ms);
-        if known.is_none_or(|it| as_of >= it.as_of || lacks_removed) {
-            self.pull_source = Some(PullSource {
-                as_of,
-                removal_history_ms,
-                from,
-                since,
-            });
+        let lacks_removed = self.has_shorter_history(now, offer.removal_history_ms);
+        let is_newer = |it: &Offer| (offer.as_of, offer.version) >= (it.as_of, it.version);
+        if known.is_none_or(|it| is_newer(&it.offer) || lacks_removed) {
+            self.pull_source = Some(PullSource { offer, since });
         }
     }
 
     /// Answers a peer's request for records.
     pub fn answer_pull(&self, now: Duration, pull: &message::Pull) -> message::Pulled {
-        let complete = pull.since == 0 || pull.since < self.catalog.complete_since();
-        let since = if complete { 0 } else { pull.since };
+        let as_of = self.catalog.as_of();
+        let complete = pull.since == revision::Revision::START
+            || pull.since < self.catalog.complete_since()
+            || pull.since.era > as_of.era;
+        let since = match complete {
+            true => revision::Revision::START,
+            false => pull.since,
+        };
         let mut records = self.catalog.records_since(now, since);
+        let has_configuration = records
+            .iter()
+            .any(|it| it.key == record::Key::Configuration);
+        if self.catalog.configuration().version > pull.version && !has_configuration {
+            records.extend(self.catalog.records(now, [record::Key::Configuration]));
+        }
         if pull.removed && !complete {
             records.extend(self.catalog.removed_until(now, since));
         }
@@ -146,7 +173,7 @@
             complete,
             changes: message::Changes {
                 since,
-                as_of: self.catalog.as_of(),
+                as_of,
                 records,
                 patch: None,
             },
@@ -167,7 +194,7 @@
         pulled: message::Pulled,
     ) {
         let (since, as_of) = (pulled.changes.since, pulled.changes.as_of);
-        if as_of == 0 {
+        if as_of == revision::Revision::START {
             return;
         }
         let records = pulled.changes.records;
--- a/crates/mulberrynotch_steer/src/machine/heartbeat.rs
+++ b/crates/mulberrynotch_steer/src/machine/heartbeat.rs
@@ -11,7 +11,10 @@
     Machine,
     millis, //
 };
-use crate::message;
+use crate::{
+    message,
+    revision, //
+};
 
 impl Machine {
     pub(super) fn send_heartbeats(&mut self, now: Duration) {
@@ -33,6 +36,7 @@
             joining: self.fleet.is_joining(now),
             leaving: self.leaving,
             as_of: self.catalog.as_of(),
+            version: self.catalog.configuration().version,
             removal_history_ms: self.removal_history_ms(now),
             confirmed_ms: millis(self.age(now)),
             reader_ms: self.reader_ms(now),
@@ -98,10 +102,11 @@
             let at = now.checked_sub(Duration::from_millis(heartbeat.reader_ms.into()));
             self.reader_at = self.reader_at.max(at);
         }
-        if heartbeat.as_of == 0 {
+        if heartbeat.as_of == revision::Revision::START {
             return;
         }
         if heartbeat.as_of > self.catalog.as_of()
+            || heartbeat.version > self.catalog.configuration().version
             || self.has_shorter_history(now, heartbeat.removal_history_ms)
         {
             self.record_newer_peer(now, from, heartbeat);
--- a/crates/mulberrynotch_steer/src/machine/push.rs
+++ b/crates/mulberrynotch_steer/src/machine/push.rs
@@ -1,20 +1,26 @@
 //! Propagation of changes from the reader of a zone to its peers.
 
 use std::{
-    collections::VecDeque,
+    collections::{
+        BTreeSet,
+        VecDeque, //
+    },
     net::SocketAddrV4,
     sync::Arc,
     time::Duration, //
 };
 
 use super::{
-    Machine, //
+    Machine,
+    fetch, //
 };
 use crate::{
     broadcast,
+    catalog,
     message,
     patch,
-    record, //
+    record,
+    revision, //
 };
 
 impl Machine {
@@ -32,13 +38,41 @@
         Some(patch::Patch::between(base, next, revision))
     }
 
+    /// Sends the zone what a complete read changed, and the doubts about what the store has lost.
+    pub(super) fn push_listed(
+        &mut self,
+        now: Duration,
+        before: revision::Revision,
+        base: &record::Configuration,
+        changes: &[catalog::Change],
+    ) {
+        let as_of = self.catalog.as_of();
+        if before == revision::Revision::START || changes.is_empty() {
+            return;
+        }
+        let changed = changes.iter().filter_map(catalog::Change::key);
+        let unconfirmed = self
+            .catalog
+            .unconfirmed()
+            .filter(|_| before.era < as_of.era);
+        let keys: BTreeSet<_> = changed.chain(unconfirmed).collect();
+        let records = self.catalog.records(now, keys);
+        let patch = self.patch(base, &records);
+        // Peers fetch everything if the changes since then cannot be told.
+        let since = match before < self.catalog.complete_since() {
+            true => as_of,
+            false => before,
+        };
+        self.push_changes(now, since, as_of, patch, records);
+    }
+
     /// Sends changes to the zone. Changes beyond the limits are left out, and the peers fetch the
     /// gap.
     pub(super) fn push_changes(
         &mut self,
         now: Duration,
-        since: u64,
-        as_of: u64,
+        since: revision::Revision,
+        as_of: revision::Revision,
         patch: Option<patch::Patch>,
         records: Vec<record::Record>,
     ) {
@@ -104,7 +138,15 @@
         let applied = self.catalog.apply_changes(now, since, as_of, records);
         self.handle_catalog_changes(now, applied);
         if self.catalog.as_of() < as_of {
-            self.update_pull_source(now, from, as_of, 0);
+            self.update_pull_source(
+                now,
+                fetch::Offer {
+                    from,
+                    as_of,
+                    version: 0,
+                    removal_history_ms: 0,
+                },
+            );
             self.pull(now, from);
         }
     }
@@ -113,12 +155,13 @@
     /// the present one.
     pub(super) fn patched_configuration(&self, patch: &patch::Patch) -> Option<record::Record> {
         let present = self.catalog.configuration();
-        if present.version >= patch.version {
+        if present.version > patch.version || present.digest() == patch.digest {
             return Some(record::Record {
                 key: record::Key::Configuration,
                 revision: patch.revision,
                 body: None,
                 removed_ms: None,
+                unconfirmed: false,
             });
         }
         let next = patch.apply(present)?;
@@ -127,6 +170,7 @@
             revision: patch.revision,
             body: Some(record::Body::Configuration(Arc::new(next))),
             removed_ms: None,
+            unconfirmed: false,
         })
     }
 }
@@ -143,8 +187,8 @@
 /// Splits changes into datagrams with consecutive ranges of revisions, so that a receiver detects a
 /// datagram that was left out or lost by the next one.
 fn parts(
-    since: u64,
-    as_of: u64,
+    since: revision::Revision,
+    as_of: revision::Revision,
     mut patch: Option<patch::Patch>,
     mut records: Vec<record::Record>,
 ) -> Vec<message::Changes> {
@@ -152,6 +196,14 @@
     let count = records.len().div_ceil(MAX_RECORDS);
     let mut parts = Vec::new();
     let mut since = since;
+    if records.is_empty() {
+        parts.push(message::Changes {
+            since,
+            as_of,
+            records: Vec::new(),
+            patch: None,
+        });
+    }
     for (index, chunk) in records.chunks(MAX_RECORDS).enumerate() {
         let last = index + 1 == count;
         let end = chunk
@@ -172,7 +224,7 @@
                 patch: patch.filter(|_| fits),
             });
         }
-        since = end;
+        since = since.max(end);
     }
     parts
 }
--- a/crates/mulberrynotch_steer/src/machine/store.rs
+++ b/crates/mulberrynotch_steer/src/machine/store.rs
@@ -10,7 +10,8 @@
 use crate::{
     catalog,
     reader,
-    record, //
+    record,
+    revision, //
 };
 
 impl Machine {
@@ -38,17 +39,18 @@
     ) {
         match (call, answer) {
             (_, Some(reader::Answer::Listed { as_of, records })) => {
-                self.log(Event::Listed {
-                    before: self.catalog.as_of(),
-                    as_of,
-                    records: records.len(),
-                });
-                self.listed(now, as_of.number, records);
+                self.listed(now, as_of, records);
             }
             (reader::Call::Watch { after }, Some(reader::Answer::Changed { as_of, records })) => {
-                self.watched(now, after, as_of.number, records);
+                self.watched(now, after, as_of, records);
             }
             (_, Some(reader::Answer::TooMany)) => self.list_too_long(now),
+            (reader::Call::Watch { after }, Some(reader::Answer::HistoryLost { era }))
+                if after.era < era && era == self.catalog.as_of().era =>
+            {
+                // A peer was quicker to supply the changes of the new era.
+                self.end_call(now, reader::Outcome::Answered { changed: false });
+            }
             (_, Some(reader::Answer::HistoryLost { era })) => self.history_lost(now, era),
             (_, Some(_)) => self.call_failed(now),
             (_, None) => self.call_failed(now),
@@ -56,19 +58,47 @@
     }
 
     /// Handles a complete read of the store as of revision `as_of`.
-    pub fn listed(&mut self, now: Duration, as_of: u64, records: Vec<record::Record>) {
+    pub fn listed(
+        &mut self,
+        now: Duration,
+        as_of: revision::Revision,
+        records: Vec<record::Record>,
+    ) {
+        let before = self.catalog.as_of();
+        if as_of.era < before.era {
+            return self.history_lost(now, as_of.era);
+        }
+        let is_reader = self.reader.is_recovering();
         let ended = self.end_call(now, reader::Outcome::Answered { changed: true });
+        self.log(Event::Listed {
+            before,
+            as_of,
+            records: records.len(),
+        });
+        let base = self.catalog.configuration().clone();
         let changes = self.catalog.replace(now, as_of, records);
         self.removals_known_since.get_or_insert(now);
-        self.handle_catalog_changes(now, changes);
+        self.handle_catalog_changes(now, changes.clone());
+        if is_reader {
+            self.push_listed(now, before, &base, &changes);
+        }
         // A stale read does not confirm that the register is current.
         if let Some((reader::Call::List { stale: false, .. }, started)) = ended {
             self.confirm(started);
         }
     }
 
-    /// Handles the changes that a watch returned.
-    pub fn watched(&mut self, now: Duration, after: u64, as_of: u64, records: Vec<record::Record>) {
+    /// Handles the changes that a watch returned. Changes of another era do not follow on `after`.
+    pub fn watched(
+        &mut self,
+        now: Duration,
+        after: revision::Revision,
+        as_of: revision::Revision,
+        records: Vec<record::Record>,
+    ) {
+        if as_of.era != after.era {
+            return self.history_lost(now, as_of.era);
+        }
         let changed = !records.is_empty();
         self.end_call(now, reader::Outcome::Answered { changed });
         let base = self.catalog.configuration().clone();
--- a/crates/mulberrynotch_steer/src/machine/time.rs
+++ b/crates/mulberrynotch_steer/src/machine/time.rs
@@ -64,6 +64,7 @@
     pub(super) fn clean(&mut self, now: Duration) {
         self.cleaned_at = now;
         self.catalog.expire(now);
+        self.check_doubts(now);
         let idle = self.catalog.configuration().idle_ms;
         self.flows.expire(now, Duration::from_millis(idle.into()));
         self.fleet.expire(now);
@@ -77,6 +78,18 @@
         self.log_members(now);
     }
 
+    /// Resolves doubts about what the store lost when it returned from a copy. A reader reads the
+    /// store once more; the others wait for it, and for contact to the store or a peer.
+    fn check_doubts(&mut self, now: Duration) {
+        if self.catalog.is_doubt_over(now) && self.reader.is_healthy(now) {
+            self.reader.list_instead_of_watch();
+        }
+        if self.is_current(now) {
+            let changes = self.catalog.resolve_doubts(now);
+            self.handle_catalog_changes(now, changes);
+        }
+    }
+
     /// Logs the members of this zone that joined or left since the last clean-up.
     fn log_members(&mut self, now: Duration) {
         let zone = self.fleet.me().zone.clone();
--- a/crates/mulberrynotch_steer/src/message.rs
+++ b/crates/mulberrynotch_steer/src/message.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     patch,
-    record, //
+    record,
+    revision, //
 };
 
 mulberrynotch_macros::message! {
@@ -40,7 +41,9 @@
         /// True while the sender shuts down.
         pub leaving: bool,
         /// Revision up to which the sender has every change of the register.
-        pub as_of: u64,
+        pub as_of: revision::Revision,
+        /// Version of the sender's configuration.
+        pub version: u64,
         /// Time for which the sender has recorded removed targets, in milliseconds.
         pub removal_history_ms: u32,
         /// Time since the sender's register was last confirmed as current, in milliseconds.
@@ -93,9 +96,9 @@
     /// Changes of the register between two revisions.
     pub struct Changes {
         /// Revision after which every change is contained.
-        pub since: u64,
+        pub since: revision::Revision,
         /// Revision up to which every change is contained.
-        pub as_of: u64,
+        pub as_of: revision::Revision,
         /// The records.
         pub records: Vec<record::Record>,
         /// Change of the configuration, sent in place of its record.
@@ -129,7 +132,9 @@
     /// Request for records, sent over a stream.
     pub struct Pull {
         /// Revision up to which the caller has every change.
-        pub since: u64,
+        pub since: revision::Revision,
+        /// Version of the caller's configuration.
+        pub version: u64,
         /// True to include targets that were removed up to `since`.
         pub removed: bool,
     }
@@ -137,7 +142,7 @@
     /// How far back a balancer knows removed targets.
     pub struct RemovalHistory {
         /// Revision from which every removal is known.
-        pub complete_since: u64,
+        pub complete_since: revision::Revision,
         /// Time for which removals have been recorded, in milliseconds.
         pub length_ms: u32,
     }
--- a/crates/mulberrynotch_steer/src/patch.rs
+++ b/crates/mulberrynotch_steer/src/patch.rs
@@ -5,7 +5,10 @@
     net::SocketAddrV4, //
 };
 
-use crate::record;
+use crate::{
+    record,
+    revision, //
+};
 
 mulberrynotch_macros::message! {
     /// Changes from one configuration to the next.
@@ -14,8 +17,10 @@
         pub base: u64,
         /// Version of the resulting configuration.
         pub version: u64,
+        /// Digest of the resulting configuration.
+        pub digest: u64,
         /// Revision of the resulting record.
-        pub revision: u64,
+        pub revision: revision::Revision,
         /// Routes that were added or changed.
         pub routes: Vec<record::Route>,
         /// Addresses of removed routes.
@@ -32,7 +37,7 @@
     pub fn between(
         base: &record::Configuration,
         next: &record::Configuration,
-        revision: u64,
+        revision: revision::Revision,
     ) -> Self {
         let base_routes: BTreeMap<_, _> = base.routes.iter().map(|it| (it.address, it)).collect();
         let next_routes: BTreeMap<_, _> = next.routes.iter().map(|it| (it.address, it)).collect();
@@ -43,6 +48,7 @@
         Self {
             base: base.version,
             version: next.version,
+            digest: next.digest(),
             revision,
             routes: next.routes.iter().filter(is_changed).cloned().collect(),
             removed: removed_routes.copied().collect(),
@@ -57,7 +63,8 @@
         self.routes.len() + self.removed.len() + services
     }
 
-    /// Applies the patch to `base`; returns `None` when the version of `base` does not match.
+    /// Applies the patch to `base`; returns `None` when `base` is not the configuration that the
+    /// patch was made for.
     pub fn apply(&self, base: &record::Configuration) -> Option<record::Configuration> {
         if base.version != self.base {
             return None;
@@ -72,11 +79,12 @@
         }
         routes.extend(self.routes.iter().map(|it| (it.address, it.clone())));
         let services = self.services.as_ref().unwrap_or(&base.services);
-        Some(record::Configuration {
+        let next = record::Configuration {
             version: self.version,
             routes: routes.into_values().collect(),
             services: services.clone(),
             idle_ms: self.idle_ms,
-        })
+        };
+        (next.digest() == self.digest).then_some(next)
     }
 }
--- a/crates/mulberrynotch_steer/src/reader.rs
+++ b/crates/mulberrynotch_steer/src/reader.rs
@@ -24,6 +24,9 @@
 
 const MAX_BACKOFF: Duration = Duration::from_millis(1_200);
 
+/// Doublings of the pause until it is the longest one.
+const MAX_BACKOFF_STEPS: u32 = 3;
+
 /// Largest number of records that a process reads at its start instead of waiting for a peer that
 /// has them.
 pub const SHORT_LIST: usize = 500;
@@ -54,7 +57,7 @@
         /// Waits for changes.
         Watch {
             /// Revision after which changes are returned.
-            after: u64,
+            after: revision::Revision,
         },
     }
 
@@ -65,7 +68,7 @@
             /// True if there were changes.
             changed: bool,
         },
-        /// The store no longer has the history that a watch needs.
+        /// The store no longer has the history that a watch needs, or has another one.
         HistoryLost,
         /// The store did not answer, or refused the call.
         Failed,
@@ -120,17 +123,21 @@
     /// Time at which a watch last ended with an answer.
     watched_at: Option<Duration>,
     list_needed: bool,
+    /// True while a complete read replaces the watch of a reader.
+    recovering: bool,
+    /// Lost histories since a watch last ended with an answer.
+    lost_histories: u32,
     /// True once a short read was aborted.
     postponed: bool,
 }
 
 impl Reader {
     /// Returns the call to make now, if any.
-    pub fn next(&mut self, now: Duration, zone: Zone, as_of: u64) -> Option<Call> {
+    pub fn next(&mut self, now: Duration, zone: Zone, as_of: revision::Revision) -> Option<Call> {
         let rank = u32::try_from(zone.rank)
             .unwrap_or(u32::MAX)
             .min(MAX_TAKEOVER_STEPS);
-        let is_responsible = rank == 0 || as_of == 0 || self.list_needed;
+        let is_responsible = rank == 0 || as_of == revision::Revision::START || self.list_needed;
         let takes_over = zone.reader_age >= TAKEOVER_AGE + zone.relay_delay + TAKEOVER_STEP * rank;
         if self.pending.is_some() || now < self.next_at || !(is_responsible || takes_over) {
             return None;
@@ -140,7 +147,7 @@
                 stale: false,
                 short: false,
             }
-        } else if as_of == 0 {
+        } else if as_of == revision::Revision::START {
             Call::List {
                 stale: true,
                 short: !self.postponed,
@@ -177,16 +184,23 @@
                 self.answered_at = Some(now);
                 if matches!(call, Call::Watch { .. }) {
                     self.watched_at = Some(now);
+                    self.lost_histories = 0;
                 }
                 self.next_at = if changed { now + CHANGE_PAUSE } else { now };
                 if matches!(call, Call::List { .. }) {
                     self.list_needed = false;
+                    self.recovering = false;
                     self.next_at = now;
                 }
             }
             Outcome::HistoryLost => {
-                self.list_needed = true;
-                self.next_at = now;
+                // The first one is read again at once. A store that refuses every watch is not.
+                let steps = self.lost_histories.min(MAX_BACKOFF_STEPS);
+                let backoff = (MIN_BACKOFF * 2_u32.pow(steps)).min(MAX_BACKOFF);
+                let is_first = self.lost_histories == 0;
+                self.list_instead_of_watch();
+                self.lost_histories += 1;
+                self.next_at = if is_first { now } else { now + backoff };
             }
             Outcome::Failed => {
                 let backoff = self.backoff.map_or(MIN_BACKOFF, |it| it * 2);
@@ -211,6 +225,18 @@
         self.backoff.is_none() && is_watching && self.answered_at.is_some_and(is_recent)
     }
 
+    /// Returns whether the pending complete read replaces a watch, after the loss of the history or
+    /// to resolve a doubt.
+    pub fn is_recovering(&self) -> bool {
+        self.recovering && matches!(self.pending, Some((Call::List { .. }, _)))
+    }
+
+    /// Schedules a complete read in place of the watch of a reader.
+    pub fn list_instead_of_watch(&mut self) {
+        self.list_needed = true;
+        self.recovering = true;
+    }
+
     /// Returns whether calls have failed since the last answer.
     pub fn is_failing(&self) -> bool {
         self.backoff.is_some()
--- a/crates/mulberrynotch_steer/src/record.rs
+++ b/crates/mulberrynotch_steer/src/record.rs
@@ -1,10 +1,19 @@
 //! Records of the register, each with the revision of its last change.
 
 use std::{
+    collections::BTreeSet,
+    hash::{
+        Hash,
+        Hasher, //
+    },
     net::SocketAddrV4,
     sync::Arc, //
 };
 
+use xxhash_rust::xxh3;
+
+use crate::revision;
+
 mulberrynotch_macros::value! {
     /// Identifier of a target; a target that restarts may keep it.
     #[derive(serde::Serialize, serde::Deserialize)]
@@ -28,11 +37,14 @@
         /// Subject of the record.
         pub key: Key,
         /// Revision of the last change of the record; revisions order all changes of the register.
-        pub revision: u64,
+        pub revision: revision::Revision,
         /// Content; `None` for a removal whose content is unknown.
         pub body: Option<Body>,
         /// Time since the removal, in milliseconds; `None` while the record is present.
         pub removed_ms: Option<u32>,
+        /// True when the store returned from a copy that lacks the record, and its writer has not
+        /// written it again.
+        pub unconfirmed: bool,
     }
 
     /// Content of a record.
@@ -77,6 +89,7 @@
     }
 
     /// Services that receive the new flows of an address.
+    #[derive(Hash)]
     pub struct Route {
         /// Address that clients send to.
         pub address: SocketAddrV4,
@@ -85,6 +98,7 @@
     }
 
     /// Share of a service in a route's new flows.
+    #[derive(Hash)]
     pub struct Share {
         /// Name of the service.
         pub service: Arc<str>,
@@ -93,6 +107,7 @@
     }
 
     /// Limits of a service.
+    #[derive(Hash)]
     pub struct Service {
         /// Name.
         pub name: Arc<str>,
@@ -113,4 +128,34 @@
             idle_ms: 15_000,
         }
     }
+
+    /// Returns a hash of the content, which does not depend on the order of the routes. A version
+    /// alone does not identify the content when the store has lost a configuration.
+    pub fn digest(&self) -> u64 {
+        let mut routes: Vec<_> = self.routes.iter().collect();
+        routes.sort_unstable_by_key(|it| it.address);
+        let mut hasher = xxh3::Xxh3::new();
+        (self.version, routes, &self.services, self.idle_ms).hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// Returns whether the configuration can be applied: it has a version, and at most one route for
+    /// each address.
+    pub fn is_valid(&self) -> bool {
+        let addresses: BTreeSet<_> = self.routes.iter().map(|it| it.address).collect();
+        self.version > 0 && addresses.len() == self.routes.len()
+    }
+}
+
+impl Target {
+    /// Returns whether both entries describe the same state of the same start. The remaining warm-up
+    /// time does not count, since it decreases by itself.
+    pub fn is_same(&self, other: &Self) -> bool {
+        let cold_ms = self.cold_ms;
+        *self
+            == Self {
+                cold_ms,
+                ..other.clone()
+            }
+    }
 }
--- a/crates/mulberrynotch_steer/tests/control.rs
+++ b/crates/mulberrynotch_steer/tests/control.rs
@@ -10,6 +10,7 @@
     fleet::Fleet,
     member,
     ms,
+    rev,
     route,
     zone_out, //
 };
@@ -138,13 +139,13 @@
     let mut early = 0;
     for seed in 0..1_000 {
         let mut reader = reader::Reader::default();
-        reader.next(at(0), FIRST, 0);
+        reader.next(at(0), FIRST, rev(0));
         reader.postpone(at(0), seed * 7_919);
         let whole = reader::Call::List {
             stale: true,
             short: false,
         };
-        early += usize::from(reader.next(at(600), FIRST, 0) == Some(whole));
+        early += usize::from(reader.next(at(600), FIRST, rev(0)) == Some(whole));
     }
     assert!((50..150).contains(&early), "{early} of 1,000");
 }
@@ -156,7 +157,7 @@
     let mut calls = 0;
     for step in 0..1_000_u64 {
         let now = at(step * 10);
-        if reader.next(now, FIRST, 0).is_some() {
+        if reader.next(now, FIRST, rev(0)).is_some() {
             calls += 1;
             reader.call_ended(now, reader::Outcome::Failed);
         }
@@ -170,10 +171,10 @@
 #[test]
 fn only_a_process_that_watches_counts_as_a_reader() {
     let mut reader = reader::Reader::default();
-    reader.next(at(0), FIRST, 0);
+    reader.next(at(0), FIRST, rev(0));
     reader.call_ended(at(10), reader::Outcome::Answered { changed: true });
     assert!(!reader.is_healthy(at(20)));
-    reader.next(at(30), FIRST, 5);
+    reader.next(at(30), FIRST, rev(5));
     assert!(reader.is_healthy(at(40)));
     reader.call_ended(at(1_000), reader::Outcome::Answered { changed: true });
     assert!(reader.is_healthy(at(1_050)));
@@ -185,12 +186,12 @@
 fn a_lost_history_is_followed_by_a_complete_read() {
     let mut reader = reader::Reader::default();
     assert_eq!(
-        reader.next(at(0), FIRST, 5),
-        Some(reader::Call::Watch { after: 5 })
+        reader.next(at(0), FIRST, rev(5)),
+        Some(reader::Call::Watch { after: rev(5) })
     );
     reader.call_ended(at(10), reader::Outcome::HistoryLost);
     assert_eq!(
-        reader.next(at(10), FIRST, 5),
+        reader.next(at(10), FIRST, rev(5)),
         Some(reader::Call::List {
             stale: false,
             short: false
--- a/crates/mulberrynotch_steer/tests/evidence.rs
+++ b/crates/mulberrynotch_steer/tests/evidence.rs
@@ -14,6 +14,7 @@
     ms,
     opening,
     probes,
+    rev,
     target, //
 };
 use mulberrynotch_steer::{
@@ -123,7 +124,7 @@
     run(&mut machine, 1_000, 2_000, Probe::Silent);
     assert_eq!(machine.evidence().verdict(FAILED), Verdict::Dead);
     let removed = fixture::removal(record::Key::Target(record::Id(8)), 101);
-    machine.watched(at(2_000), 100, 101, vec![removed]);
+    machine.watched(at(2_000), rev(100), rev(101), vec![removed]);
     assert_eq!(
         machine.packet(at(2_001), &opening(9, 0)),
         steer::Verdict::Reset
@@ -141,9 +142,14 @@
         started_ms: 2,
         ..entry("a")
     };
-    machine.watched(at(2_000), 100, 101, vec![target(7, 101, entry("a"))]);
+    machine.watched(
+        at(2_000),
+        rev(100),
+        rev(101),
+        vec![target(7, 101, entry("a"))],
+    );
     assert_eq!(machine.evidence().verdict(FAILED), Verdict::Dead);
-    machine.watched(at(2_010), 101, 102, vec![target(7, 102, again)]);
+    machine.watched(at(2_010), rev(101), rev(102), vec![target(7, 102, again)]);
     assert_eq!(machine.evidence().verdict(FAILED), Verdict::Good);
     let opened_elsewhere = data(300, 7, 1, 1, 10);
     let verdict = machine.packet(at(2_020), &opened_elsewhere);
--- a/crates/mulberrynotch_steer/tests/explain.rs
+++ b/crates/mulberrynotch_steer/tests/explain.rs
@@ -10,6 +10,7 @@
     flow,
     machine,
     opening,
+    rev,
     route,
     target,
     zone_out, //
@@ -59,15 +60,15 @@
                     ..entry("a")
                 };
                 let changed = vec![target(id, revision, draining)];
-                machine.watched(at(now), revision - 1, revision, changed);
+                machine.watched(at(now), rev(revision - 1), rev(revision), changed);
             }
             4 => {
                 let out = vec![zone_out("b", revision)];
-                machine.watched(at(now), revision - 1, revision, out);
+                machine.watched(at(now), rev(revision - 1), rev(revision), out);
             }
             _ => machine.tick(at(now)),
         }
-        machine.watched(at(now), revision, revision, Vec::new());
+        machine.watched(at(now), rev(revision), rev(revision), Vec::new());
     }
     (machine, now)
 }
@@ -148,7 +149,7 @@
     ];
     assert_eq!(standings, expected);
     assert_eq!(explanation.service.as_deref(), Some("feed"));
-    assert_eq!((explanation.version, explanation.as_of), (1, 100));
+    assert_eq!((explanation.version, explanation.as_of), (1, rev(100)));
     let verdict = machine.packet(at(10), &opening(9_000, 0));
     assert_eq!(
         fixture::forwarded(verdict),
@@ -161,7 +162,7 @@
 #[test]
 fn a_missing_route_is_named_as_the_reason() {
     let mut machine = machine(vec![target(1, 2, entry("a"))]);
-    machine.watched(at(5), 100, 101, vec![configuration(2, 101, &[])]);
+    machine.watched(at(5), rev(100), rev(101), vec![configuration(2, 101, &[])]);
     let explanation = machine.explain(at(10), &flow(9_000), cookie::NONE);
     let refused = steer::Outcome::Refused(steer::Reason::NoRoute);
     assert_eq!(explanation.outcome, refused, "{:?}", route());
--- a/crates/mulberrynotch_steer/tests/spread.rs
+++ b/crates/mulberrynotch_steer/tests/spread.rs
@@ -8,6 +8,7 @@
     entry,
     fleet::Fleet,
     removal,
+    rev,
     route,
     target, //
 };
@@ -81,11 +82,11 @@
     for order in orders(steps.len()) {
         let mut catalog = catalog::Catalog::default();
         let base = vec![configuration(1, 1, &[route()]), target(7, 2, entry("a"))];
-        catalog.replace(at(0), 5, base);
-        let (mut version, mut revision) = (1, 2);
+        catalog.replace(at(0), rev(5), base);
+        let (mut version, mut revision) = (1, rev(2));
         for step in &order {
             let record = steps[*step].clone();
-            catalog.apply_changes(at(10), 5, record.revision, vec![record]);
+            catalog.apply_changes(at(10), rev(5), record.revision, vec![record]);
             let now_version = catalog.configuration().version;
             let now_revision = catalog.target(record::Id(7)).unwrap().revision;
             assert!(
@@ -94,7 +95,7 @@
             );
             (version, revision) = (now_version, now_revision);
         }
-        assert_eq!((version, revision), (3, 14), "{order:?}");
+        assert_eq!((version, revision), (3, rev(14)), "{order:?}");
         let available = catalog
             .targets_of("feed")
             .filter(|it| catalog.exclusion(at(20), it).is_none());
@@ -122,9 +123,9 @@
 fn a_fetch_from_a_peer_gives_what_the_peer_has() {
     fn holds(changes: Vec<(u8, bool)>, known: u8) -> bool {
         let mut peer = catalog::Catalog::default();
-        peer.replace(at(0), 1, vec![configuration(1, 1, &[route()])]);
+        peer.replace(at(0), rev(1), vec![configuration(1, 1, &[route()])]);
         let mut behind = catalog::Catalog::default();
-        behind.replace(at(0), 1, vec![configuration(1, 1, &[route()])]);
+        behind.replace(at(0), rev(1), vec![configuration(1, 1, &[route()])]);
         for (step, (id, present)) in changes.into_iter().enumerate() {
             let revision = 2 + u64::try_from(step).unwrap();
             let record = if present {
@@ -132,9 +133,14 @@
             } else {
                 removal(record::Key::Target(record::Id(u64::from(id % 6))), revision)
             };
-            peer.apply_changes(at(1), revision - 1, revision, vec![record.clone()]);
+            peer.apply_changes(
+                at(1),
+                rev(revision - 1),
+                rev(revision),
+                vec![record.clone()],
+            );
             if step < usize::from(known) {
-                behind.apply_changes(at(1), revision - 1, revision, vec![record]);
+                behind.apply_changes(at(1), rev(revision - 1), rev(revision), vec![record]);
             }
         }
         let since = behind.as_of();
@@ -170,7 +176,7 @@
             }
         };
         let (base, next) = (make(3, &before), make(5, &after));
-        let patch = patch::Patch::between(&base, &next, 9);
+        let patch = patch::Patch::between(&base, &next, rev(9));
         let other = make(4, &before);
         patch.apply(&base).as_ref() == Some(&*next) && patch.apply(&other).is_none()
     }
@@ -245,6 +251,6 @@
     let behind = fleet
         .machines
         .values()
-        .filter(|it| it.catalog().as_of() < 4_000);
+        .filter(|it| it.catalog().as_of().number < 4_000);
     assert_eq!(behind.count(), 0, "balancers that lack changes after 1 s");
 }
--- a/crates/mulberrynotch_steer/tests/steering.rs
+++ b/crates/mulberrynotch_steer/tests/steering.rs
@@ -11,6 +11,7 @@
     machine,
     opening,
     removal,
+    rev,
     route,
     target,
     zone_out, //
@@ -36,7 +37,7 @@
 fn a_packet_with_a_cookie_reaches_its_target_after_the_removal() {
     let mut machine = machine(vec![target(7, 2, entry("a")), target(8, 3, entry("a"))]);
     let removed = removal(record::Key::Target(record::Id(7)), 101);
-    machine.watched(at(10), 100, 101, vec![removed]);
+    machine.watched(at(10), rev(100), rev(101), vec![removed]);
     assert_eq!(
         forwarded(machine.packet(at(20), &data(1, 7, 1, 1, 10))),
         Some(7)
@@ -64,7 +65,7 @@
         Some(7)
     );
     machine.take_actions();
-    machine.watched(at(20), 100, 101, vec![started(9, 101, 100, 6)]);
+    machine.watched(at(20), rev(100), rev(101), vec![started(9, 101, 100, 6)]);
     let actions = machine.take_actions();
     let reset =
         |it: &&Action| matches!(it, Action::Reset { flow, .. } if *flow == fixture::flow(1));
@@ -98,8 +99,8 @@
     let mut machine = fixture::machine(vec![started(9, 9, 100, 6)]);
     machine.watched(
         at(20),
-        100,
-        101,
+        rev(100),
+        rev(101),
         vec![late, removal(record::Key::Target(record::Id(7)), 101)],
     );
     let verdict = machine.packet(at(30), &data(1, 9, 1, 1, 10));
@@ -155,7 +156,7 @@
     let mut draining = entry("a");
     draining.draining = true;
     let changed = vec![target(7, 101, draining), target(8, 102, entry("a"))];
-    machine.watched(at(100), 100, 102, changed);
+    machine.watched(at(100), rev(100), rev(102), changed);
     // The first flow had opened, and the opening of the second has timed out.
     assert_eq!(
         forwarded(machine.packet(at(5_000), &opening(1, 0))),
@@ -218,11 +219,16 @@
     let added = fixture::address(201, 443);
     machine.watched(
         at(10),
-        100,
-        101,
+        rev(100),
+        rev(101),
         vec![configuration(5, 101, &[route(), added])],
     );
-    machine.watched(at(20), 101, 102, vec![configuration(4, 102, &[route()])]);
+    machine.watched(
+        at(20),
+        rev(101),
+        rev(102),
+        vec![configuration(4, 102, &[route()])],
+    );
     assert_eq!(machine.catalog().configuration().version, 5);
     let mut elsewhere = opening(2, 0);
     elsewhere.flow.route = added;
@@ -239,7 +245,7 @@
     assert_eq!(machine.packet(at(1), &data(2, 7, 1, 1, 10)), Verdict::Hold);
     assert!(!machine.is_ready());
     let records = vec![configuration(1, 1, &[route()]), target(7, 2, entry("a"))];
-    machine.listed(at(10), 100, records);
+    machine.listed(at(10), rev(100), records);
     assert!(machine.is_ready() && !machine.is_holding());
     assert_eq!(
         forwarded(machine.packet(at(11), &data(2, 7, 1, 1, 10))),
@@ -259,7 +265,7 @@
     );
     machine.tick(at(5_002));
     let records = vec![configuration(1, 1, &[route()]), target(8, 101, entry("a"))];
-    machine.listed(at(5_010), 101, records);
+    machine.listed(at(5_010), rev(101), records);
     assert_eq!(
         forwarded(machine.packet(at(5_011), &opening(1, 0))),
         Some(8)
@@ -283,7 +289,7 @@
 fn targets_that_disappear_together_stay_in_use_for_a_while() {
     let mut machine = machine((7..11).map(|id| target(id, id, entry("a"))).collect());
     let records = vec![configuration(1, 1, &[route()])];
-    machine.listed(at(10), 200, records);
+    machine.listed(at(10), rev(200), records);
     assert!(forwarded(machine.packet(at(20), &opening(1, 0))).is_some());
     // They are dropped when they do not come back.
     assert_eq!(machine.packet(at(2_400), &opening(2, 0)), Verdict::Reset);
@@ -319,7 +325,7 @@
     ];
     let mut machine = machine(targets);
     let back = removal(record::Key::ZoneOut("a".into()), 101);
-    machine.watched(at(1_000), 100, 101, vec![back]);
+    machine.watched(at(1_000), rev(100), rev(101), vec![back]);
     assert_eq!(
         forwarded(machine.packet(at(1_500), &opening(1, 0))),
         Some(8)
@@ -341,7 +347,7 @@
         machine.receive(at(10), fixture::address(2, 7_000), members);
     }
     let back = removal(record::Key::ZoneOut("a".into()), 101);
-    machine.watched(at(100), 100, 101, vec![back]);
+    machine.watched(at(100), rev(100), rev(101), vec![back]);
     let opened = (0..190_u16).filter(|step| {
         let now = at(110 + u64::from(*step) * 10);
         machine.tick(now);
@@ -391,7 +397,7 @@
             } else {
                 removal(record::Key::Target(record::Id(id)), revision)
             };
-            machine.watched(now, revision - 1, revision, vec![record]);
+            machine.watched(now, rev(revision - 1), rev(revision), vec![record]);
             machine.tick(now);
             machine.packet(now, &opening(u16::from(port), u32::from(port % 3)));
             for other in 0..8 {
