Notice the return of the store from a copy at its first answer

The first watch after a failed call now returns at once.

A zone whose reader lagged behind the store fetched everything from it; the changes alone do, since numbers above the known one are dated in the new era.

--- a/crates/mulberrynotch_standin/src/emulator/world.rs
+++ b/crates/mulberrynotch_standin/src/emulator/world.rs
@@ -355,7 +355,10 @@
 
     fn check_watches(&mut self) {
         for (watch, answer) in self.store.take_finished_watches(self.now) {
-            let call = reader::Call::Watch { after: watch.after };
+            let call = reader::Call::Watch {
+                after: watch.after,
+                wait: reader::WATCH_WAIT,
+            };
             let event = Event::StoreAnswer(watch.balancer, watch.incarnation, call, Some(answer));
             self.schedule(Duration::from_millis(2), event);
         }
--- a/crates/mulberrynotch_standin/src/emulator/world/balancer.rs
+++ b/crates/mulberrynotch_standin/src/emulator/world/balancer.rs
@@ -198,11 +198,11 @@
                     Event::StoreAnswer(index, incarnation, call, answer),
                 );
             }
-            reader::Call::Watch { after } => self.store.watches.push(store::Watch {
+            reader::Call::Watch { after, wait } => self.store.watches.push(store::Watch {
                 balancer: index,
                 incarnation,
                 after,
-                deadline: self.now + reader::WATCH_WAIT,
+                deadline: self.now + wait,
             }),
         }
     }
--- a/crates/mulberrynotch_steer/src/catalog.rs
+++ b/crates/mulberrynotch_steer/src/catalog.rs
@@ -305,10 +305,6 @@
             self.undated_era = as_of.era;
             self.complete_since = as_of;
         }
-        if is_restored && as_of.number > before.number {
-            // Numbers above `before` may be from either era, so changes since then cannot be told.
-            self.complete_since = as_of;
-        }
         self.as_of = self.as_of.max(as_of);
         let absent = self
             .present_keys()
--- a/crates/mulberrynotch_steer/src/machine/push.rs
+++ b/crates/mulberrynotch_steer/src/machine/push.rs
@@ -58,12 +58,7 @@
         let keys: BTreeSet<_> = changed.chain(unconfirmed).collect();
         let records = self.catalog.records(now, keys);
         let patch = self.patch(base, &records);
-        // Peers fetch everything if the changes since then cannot be told.
-        let since = match before < self.catalog.complete_since() {
-            true => as_of,
-            false => before,
-        };
-        self.push_changes(now, since, as_of, patch, records);
+        self.push_changes(now, before, as_of, patch, records);
     }
 
     /// Sends changes to the zone. Changes beyond the limits are left out, and the peers fetch the
--- a/crates/mulberrynotch_steer/src/machine/store.rs
+++ b/crates/mulberrynotch_steer/src/machine/store.rs
@@ -41,17 +41,21 @@
             (_, Some(reader::Answer::Listed { as_of, records })) => {
                 self.listed(now, as_of, records);
             }
-            (reader::Call::Watch { after }, Some(reader::Answer::Changed { as_of, records })) => {
-                self.watched(now, after, as_of, records);
+            (
+                reader::Call::Watch { after, .. },
+                Some(reader::Answer::Changed { as_of, records }),
+            ) if as_of.era == after.era => self.watched(now, after, as_of, records),
+            (
+                reader::Call::Watch { after, .. },
+                Some(reader::Answer::Changed {
+                    as_of: revision::Revision { era, .. },
+                    ..
+                }),
+            )
+            | (reader::Call::Watch { after, .. }, Some(reader::Answer::HistoryLost { era })) => {
+                self.watch_interrupted(now, after, era);
             }
             (_, Some(reader::Answer::TooMany)) => self.list_too_long(now),
-            (reader::Call::Watch { after }, Some(reader::Answer::HistoryLost { era }))
-                if after.era < era && era == self.catalog.as_of().era =>
-            {
-                // A peer was quicker to supply the changes of the new era.
-                self.end_call(now, reader::Outcome::Answered { changed: false });
-            }
-            (_, Some(reader::Answer::HistoryLost { era })) => self.history_lost(now, era),
             (_, Some(_)) => self.call_failed(now),
             (_, None) => self.call_failed(now),
         }
@@ -88,7 +92,7 @@
         }
     }
 
-    /// Handles the changes that a watch returned. Changes of another era do not follow on `after`.
+    /// Handles the changes that a watch returned.
     pub fn watched(
         &mut self,
         now: Duration,
@@ -96,9 +100,6 @@
         as_of: revision::Revision,
         records: Vec<record::Record>,
     ) {
-        if as_of.era != after.era {
-            return self.history_lost(now, as_of.era);
-        }
         let changed = !records.is_empty();
         self.end_call(now, reader::Outcome::Answered { changed });
         let base = self.catalog.configuration().clone();
@@ -113,6 +114,16 @@
         }
     }
 
+    /// Handles a watch from `after` that the store, in `era`, cannot continue.
+    fn watch_interrupted(&mut self, now: Duration, after: revision::Revision, era: u64) {
+        if after.era < era && era == self.catalog.as_of().era {
+            // A peer was quicker to supply the changes of the new era.
+            self.end_call(now, reader::Outcome::Answered { changed: false });
+        } else {
+            self.history_lost(now, era);
+        }
+    }
+
     /// Handles a watch whose history the store no longer has.
     pub fn history_lost(&mut self, now: Duration, era: u64) {
         self.end_call(now, reader::Outcome::HistoryLost);
--- a/crates/mulberrynotch_steer/src/reader.rs
+++ b/crates/mulberrynotch_steer/src/reader.rs
@@ -58,6 +58,8 @@
         Watch {
             /// Revision after which changes are returned.
             after: revision::Revision,
+            /// Time for which the store holds the watch open without a change.
+            wait: Duration,
         },
     }
 
@@ -153,7 +155,12 @@
                 short: !self.postponed,
             }
         } else {
-            Call::Watch { after: as_of }
+            // After an outage the answer shows at once whether the store lost something.
+            let wait = match self.is_failing() {
+                true => Duration::ZERO,
+                false => WATCH_WAIT,
+            };
+            Call::Watch { after: as_of, wait }
         };
         self.pending = Some((call, now));
         Some(call)
--- a/crates/mulberrynotch_steer/tests/control.rs
+++ b/crates/mulberrynotch_steer/tests/control.rs
@@ -187,7 +187,10 @@
     let mut reader = reader::Reader::default();
     assert_eq!(
         reader.next(at(0), FIRST, rev(5)),
-        Some(reader::Call::Watch { after: rev(5) })
+        Some(reader::Call::Watch {
+            after: rev(5),
+            wait: reader::WATCH_WAIT,
+        })
     );
     reader.call_ended(at(10), reader::Outcome::HistoryLost);
     assert_eq!(
