Keep what is gone out of a freshly read register

A balancer that had just started read the store and then merged the answer of a peer that lagged behind it: targets that were removed in between came back, and it claimed to know all removals since the peer's start although nobody had recorded those between the peer's last change and its own first one. Peers that pulled from it then missed these removals for good.

Test: a_peer_that_lags_behind_brings_nothing_back failed before (spread.rs:136, the removed target is present) and passes.

--- a/crates/mulberrynotch_steer/src/catalog/restore.rs
+++ b/crates/mulberrynotch_steer/src/catalog/restore.rs
@@ -62,6 +62,9 @@
     ) -> Vec<record::Record> {
         let mut dated = Vec::with_capacity(records.len());
         for record in records {
+            if self.is_gone(as_of, &record) {
+                continue;
+            }
             if !record.revision.is_undated() {
                 dated.push(record);
                 continue;
@@ -75,6 +78,15 @@
         dated
     }
 
+    /// Returns whether a peer that lags behind, as of `as_of`, has a record that was removed before
+    /// this process read all records: they did not contain it.
+    fn is_gone(&self, as_of: revision::Revision, record: &record::Record) -> bool {
+        let listed = self.complete_since;
+        let is_behind = as_of.era == listed.era && as_of < listed;
+        let is_present = record.removed_ms.is_none() && !record.unconfirmed;
+        is_behind && is_present && self.revision_of(&record.key).is_none()
+    }
+
     /// Determines when a record was written that was read in `era`. The copy contains only numbers
     /// that the store gave out before, so a number above the known one was written later.
     fn date(&self, era: u64, record: &record::Record) -> Dating {
--- a/crates/mulberrynotch_steer/src/machine/fetch.rs
+++ b/crates/mulberrynotch_steer/src/machine/fetch.rs
@@ -204,7 +204,7 @@
             self.catalog.apply_changes(now, since, as_of, records)
         };
         if let Some(history) = pulled.removal_history {
-            self.merge_removal_history(now, &history);
+            self.merge_removal_history(now, as_of, &history);
         }
         if !changes.is_empty() {
             self.log(Event::Pulled { from, as_of });
@@ -219,14 +219,22 @@
         self.relay_pending();
     }
 
-    /// Merges a peer's knowledge of removed targets.
-    fn merge_removal_history(&mut self, now: Duration, history: &message::RemovalHistory) {
+    /// Merges the knowledge of removed targets of a peer that has every change up to `as_of`.
+    fn merge_removal_history(
+        &mut self,
+        now: Duration,
+        as_of: revision::Revision,
+        history: &message::RemovalHistory,
+    ) {
         let length = Duration::from_millis(history.length_ms.into());
         let since = now.checked_sub(length);
         self.removals_known_since = match (self.removals_known_since, since) {
             (Some(own), Some(reported)) => Some(own.min(reported)),
             (own, reported) => own.or(reported),
         };
-        self.catalog.merge_complete_since(history.complete_since);
+        // Between the peer's last change and the first one here, nobody has recorded removals.
+        if as_of >= self.catalog.complete_since() {
+            self.catalog.merge_complete_since(history.complete_since);
+        }
     }
 }
--- a/crates/mulberrynotch_steer/tests/spread.rs
+++ b/crates/mulberrynotch_steer/tests/spread.rs
@@ -16,7 +16,8 @@
     catalog,
     message,
     patch,
-    record, //
+    record,
+    revision, //
 };
 use quickcheck::{
     Gen,
@@ -103,6 +104,44 @@
     }
 }
 
+/// Guards against a target that is gone for a process that has just read the store, and that returns
+/// with the answer of a peer that lags behind.
+#[test]
+fn a_peer_that_lags_behind_brings_nothing_back() {
+    let mut fleet = Fleet::new(1);
+    fleet.run(100);
+    let now = fleet.now;
+    let machine = fleet.machines.values_mut().next().unwrap();
+    let complete_since = machine.catalog().complete_since();
+    let as_of = revision::Revision {
+        number: 1,
+        ..complete_since
+    };
+    let gone = target(9, 1, entry("a"));
+    let pulled = message::Pulled {
+        complete: true,
+        changes: message::Changes {
+            since: revision::Revision::START,
+            as_of,
+            records: vec![gone],
+            patch: None,
+        },
+        removal_history: Some(message::RemovalHistory {
+            complete_since: revision::Revision::START,
+            length_ms: 10_000,
+        }),
+        confirmed_ms: 0,
+    };
+    machine.pulled(now, fixture::address(2, 7_000), now, pulled);
+    assert!(machine.catalog().target(record::Id(9)).is_none());
+    let unknown = "removals between both are unknown";
+    assert_eq!(
+        machine.catalog().complete_since(),
+        complete_since,
+        "{unknown}"
+    );
+}
+
 fn orders(count: usize) -> Vec<Vec<usize>> {
     if count == 0 {
         return vec![Vec::new()];
