Tell listed writes from dated ones, and doubts from what is confirmed

- A record of a list compared by era 0 was older than everything, also than writes of its own era that preceded it; a peer gave the number of another era's list on.
Now a write says at which point it was read and whether that dates it, and revision::Write::is_after is the one order of writes.
- A doubt was ended by a peer that never had it, or by an unchanged copy of the flagged record itself; it restarted at each process it reached.
Doubts travel with the time left and end only by a peer of the same era.
- A read that changed nothing visible was not pushed, so peers stayed in doubt.
A doubt that nobody resolves now ends by a fetch from a peer rather than by a local removal.
- What the copy still has is told from what left since by the numbers that did not move, so a target that ended right after the return is not kept.
- A reader that lost the history counted as healthy without watching.

--- a/benches/benches/steer.rs
+++ b/benches/benches/steer.rs
@@ -40,6 +40,10 @@
     Arc::from(format!("service-{number}"))
 }
 
+fn at(number: u64) -> revision::Revision {
+    revision::Revision { era: 1, number }
+}
+
 fn target(id: u64, services: u64, revision: u64) -> record::Record {
     let target = record::Target {
         service: service(id % services),
@@ -52,10 +56,10 @@
     };
     record::Record {
         key: record::Key::Target(record::Id(id)),
-        revision: revision::Revision::undated(revision),
+        write: revision::Write::dated(at(revision)),
         body: Some(record::Body::Target(target)),
         removed_ms: None,
-        unconfirmed: false,
+        unconfirmed_ms: None,
     }
 }
 
@@ -75,10 +79,10 @@
     };
     record::Record {
         key: record::Key::Configuration,
-        revision: revision::Revision::undated(1),
+        write: revision::Write::dated(at(1)),
         body: Some(record::Body::Configuration(Arc::new(configuration))),
         removed_ms: None,
-        unconfirmed: false,
+        unconfirmed_ms: None,
     }
 }
 
@@ -94,7 +98,7 @@
     machine.tick(START);
     let mut records = vec![configuration(services)];
     records.extend((1..=targets).map(|id| target(id, services, id)));
-    machine.listed(START, revision::Revision::undated(10_000), records);
+    machine.listed(START, at(10_000), records);
     machine.take_actions();
     machine
 }
@@ -153,7 +157,7 @@
             b.iter(|| {
                 revision += 1;
                 let changed = vec![target(3, services, revision)];
-                let [before, after] = [revision - 1, revision].map(revision::Revision::undated);
+                let [before, after] = [revision - 1, revision].map(at);
                 machine.watched(START, before, after, changed);
                 machine.take_actions()
             });
--- a/crates/mulberrynotch_net/src/steer/dump.rs
+++ b/crates/mulberrynotch_net/src/steer/dump.rs
@@ -28,7 +28,7 @@
                     "zone": target.entry.zone,
                     "address": target.entry.address,
                     "state": format!("{:?}", target.state(now)),
-                    "revision": target.revision.to_string(),
+                    "revision": target.write.to_string(),
                     "verdict": format!("{:?}", machine.evidence().verdict(target.id)),
                     "silent_ms": millis(machine.evidence().silence(now, target.id)),
                     "load": machine.load().recent_requests(now, target.id),
--- a/crates/mulberrynotch_net/src/steer/log.rs
+++ b/crates/mulberrynotch_net/src/steer/log.rs
@@ -320,19 +320,21 @@
         catalog::Change::Restored { before, as_of } => {
             event::warn("store_restored", &[("before", before), ("as_of", as_of)]);
         }
-        catalog::Change::Kept { key, revision } => write_limited(
+        catalog::Change::Kept { key, write } => write_limited(
             &KEPT,
             now,
             "record_kept",
-            &[
-                ("key", &Key(key)),
-                ("revision", revision),
-                ("as_of", &as_of),
-            ],
+            &[("key", &Key(key)), ("revision", write), ("as_of", &as_of)],
+        ),
+        catalog::Change::Confirmed { key, write } => write_limited(
+            &KEPT,
+            now,
+            "record_confirmed",
+            &[("key", &Key(key)), ("revision", write), ("as_of", &as_of)],
         ),
-        catalog::Change::Refused { version, revision } => event::warn(
+        catalog::Change::Refused { version, write } => event::warn(
             "configuration_refused",
-            &[("version", version), ("revision", revision)],
+            &[("version", version), ("revision", write)],
         ),
         catalog::Change::Ended { id } => write_limited(
             &TARGETS,
@@ -346,7 +348,7 @@
         ),
         catalog::Change::Target {
             id,
-            revision,
+            write,
             state,
             restarted,
         } => write_limited(
@@ -356,7 +358,7 @@
             &[
                 ("target", &Target(*id)),
                 ("state", &Variant(state)),
-                ("revision", revision),
+                ("revision", write),
                 ("restarted", restarted),
                 ("as_of", &as_of),
             ],
--- a/crates/mulberrynotch_standin/src/emulator/store.rs
+++ b/crates/mulberrynotch_standin/src/emulator/store.rs
@@ -53,12 +53,16 @@
         contents.revision += 1;
         contents.records.retain(|it| it.key != key);
         let removed_ms = body.is_none().then_some(0);
+        let at = revision::Revision {
+            era: self.era,
+            number: contents.revision,
+        };
         contents.records.push(record::Record {
             key,
-            revision: revision::Revision::undated(contents.revision),
+            write: revision::Write::dated(at),
             body,
             removed_ms,
-            unconfirmed: false,
+            unconfirmed_ms: None,
         });
     }
 
@@ -71,7 +75,7 @@
     pub(super) fn restore(&mut self) -> Vec<record::Record> {
         let lost = std::mem::replace(&mut self.contents, self.copy.clone());
         self.era += 1;
-        let is_lost = |it: &record::Record| it.revision.number > self.copy.revision;
+        let is_lost = |it: &record::Record| it.write.at.number > self.copy.revision;
         lost.records.into_iter().filter(is_lost).collect()
     }
 
@@ -91,7 +95,19 @@
         let present = records.iter().filter(|it| it.removed_ms.is_none());
         reader::Answer::Listed {
             as_of: self.as_of(),
-            records: present.cloned().collect(),
+            records: present.cloned().map(|it| self.undated(it)).collect(),
+        }
+    }
+
+    /// Marks a record of a list, which does not show in which era it was written.
+    fn undated(&self, record: record::Record) -> record::Record {
+        let at = revision::Revision {
+            era: self.era,
+            ..record.write.at
+        };
+        record::Record {
+            write: revision::Write::undated(at),
+            ..record
         }
     }
 
@@ -115,9 +131,10 @@
             return reader::Answer::HistoryLost { era };
         }
         let records = self.contents.records.iter();
-        let changed = records.filter(|it| it.revision.number > after).cloned();
+        let changed = records.filter(|it| it.write.at.number > after).cloned();
+        let era = self.era;
         let dated = changed.map(|it| record::Record {
-            revision: revision::Revision { era, ..it.revision },
+            write: revision::Write::dated(revision::Revision { era, ..it.write.at }),
             ..it
         });
         reader::Answer::Changed {
--- a/crates/mulberrynotch_steer/src/catalog.rs
+++ b/crates/mulberrynotch_steer/src/catalog.rs
@@ -49,8 +49,8 @@
         Target {
             /// Identifier.
             id: record::Id,
-            /// Revision of the entry.
-            revision: revision::Revision,
+            /// Write of the entry.
+            write: revision::Write,
             /// New state of the target.
             state: State,
             /// True when the target restarted under the same identifier.
@@ -73,15 +73,22 @@
         Kept {
             /// Key of the record.
             key: record::Key,
-            /// Revision of its last known change.
-            revision: revision::Revision,
+            /// Its last known write.
+            write: revision::Write,
+        },
+        /// A record that was in doubt was written again, or the store still has it.
+        Confirmed {
+            /// Key of the record.
+            key: record::Key,
+            /// Its last known write.
+            write: revision::Write,
         },
         /// A configuration was refused because it is invalid.
         Refused {
             /// Version of the configuration.
             version: u64,
-            /// Revision of the record.
-            revision: revision::Revision,
+            /// Write of the record.
+            write: revision::Write,
         },
     }
 }
@@ -109,7 +116,7 @@
             Self::Configuration { .. } => Some(record::Key::Configuration),
             Self::Zone { zone, .. } => Some(record::Key::ZoneOut(zone.clone())),
             Self::Target { id, .. } => Some(record::Key::Target(*id)),
-            Self::Kept { key, .. } => Some(key.clone()),
+            Self::Kept { key, .. } | Self::Confirmed { key, .. } => Some(key.clone()),
             Self::Ended { .. } | Self::Restored { .. } | Self::Refused { .. } => None,
         }
     }
@@ -119,7 +126,7 @@
 #[derive(Debug)]
 pub struct Catalog {
     configuration: Arc<record::Configuration>,
-    configuration_revision: revision::Revision,
+    configuration_write: revision::Write,
     routes: HashMap<SocketAddrV4, usize>,
     zones: BTreeMap<Arc<str>, Zone>,
     targets: BTreeMap<record::Id, Target>,
@@ -129,8 +136,6 @@
     services: HashMap<Arc<str>, BTreeSet<record::Id>>,
     as_of: revision::Revision,
     complete_since: revision::Revision,
-    /// Era of the list that the undated records are from.
-    undated_era: u64,
     /// Records that the store's copy lacks or shows in an older state, and the end of the time for
     /// their writers to write them again.
     doubts: BTreeMap<record::Key, Duration>,
@@ -138,7 +143,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Zone {
-    revision: revision::Revision,
+    write: revision::Write,
     /// Revision number of the record that took the zone out of service.
     out_number: Option<u64>,
     out: bool,
@@ -150,7 +155,7 @@
     fn default() -> Self {
         Self {
             configuration: Arc::new(record::Configuration::empty()),
-            configuration_revision: revision::Revision::START,
+            configuration_write: revision::Write::default(),
             routes: HashMap::new(),
             zones: BTreeMap::new(),
             targets: BTreeMap::new(),
@@ -159,7 +164,6 @@
             services: HashMap::new(),
             as_of: revision::Revision::START,
             complete_since: revision::Revision::START,
-            undated_era: 0,
             doubts: BTreeMap::new(),
         }
     }
@@ -271,7 +275,7 @@
             if as_of.era > self.as_of.era {
                 changes.push(self.enter_era(as_of));
                 // The sender does not know these changes, so the store has lost them.
-                let lost = self.present_keys().filter(|(_, it)| *it > since);
+                let lost = self.present_keys().filter(|(_, write)| write.at > since);
                 let lost: Vec<_> = lost.map(|(key, _)| key).collect();
                 changes.extend(lost.into_iter().filter_map(|key| self.doubt(now, key)));
             }
@@ -296,32 +300,37 @@
         let before = self.as_of;
         let is_restored = before != revision::Revision::START && as_of.era > before.era;
         let listed: BTreeSet<record::Key> = records.iter().map(|it| it.key.clone()).collect();
+        let copied_until = self.copied_until(&records);
         let mut changes = Vec::new();
         if is_restored {
             changes.push(self.enter_era(as_of));
         }
         let mut records = self.date_all(now, as_of, records, &mut changes);
         if before == revision::Revision::START {
-            self.undated_era = as_of.era;
             self.complete_since = as_of;
         }
         self.as_of = self.as_of.max(as_of);
         let absent = self
             .present_keys()
-            .filter(|(key, revision)| *revision <= as_of && !listed.contains(key));
+            .filter(|(key, write)| write.at <= as_of && !listed.contains(key));
         let absent: Vec<_> = absent.collect();
-        for (key, revision) in absent {
-            if is_restored && revision.era < as_of.era {
+        for (key, write) in absent {
+            let is_lost = match key {
+                record::Key::Target(_) => write.at.number > copied_until,
+                _ => true,
+            };
+            if is_restored && is_lost {
                 changes.extend(self.doubt(now, key));
             } else if self.doubts.get(&key).is_none_or(|until| now >= *until) {
                 self.doubts.remove(&key);
-                records.push(record::Record {
-                    revision: as_of,
-                    ..self.removal(key)
-                });
+                records.push(removal(key, as_of));
             }
         }
         changes.extend(self.merge(now, records));
+        // The store agrees that these are gone.
+        let is_open = |key: &record::Key| listed.contains(key) || self.is_present(key);
+        let closed: Vec<_> = self.unconfirmed().filter(|key| !is_open(key)).collect();
+        changes.extend(closed.iter().filter_map(|key| self.confirm(key)));
         changes
     }
 
@@ -336,28 +345,28 @@
         }
     }
 
-    /// Returns the revision of the last known change of a record.
-    fn revision_of(&self, key: &record::Key) -> Option<revision::Revision> {
+    /// Returns the last known write of a record.
+    fn write_of(&self, key: &record::Key) -> Option<revision::Write> {
         match key {
             record::Key::Configuration => {
-                (self.configuration.version > 0).then_some(self.configuration_revision)
+                (self.configuration.version > 0).then_some(self.configuration_write)
             }
-            record::Key::ZoneOut(name) => self.zones.get(name).map(|it| it.revision),
-            record::Key::Target(id) => self.targets.get(id).map(|it| it.revision),
+            record::Key::ZoneOut(name) => self.zones.get(name).map(|it| it.write),
+            record::Key::Target(id) => self.targets.get(id).map(|it| it.write),
         }
     }
 
-    fn present_keys(&self) -> impl Iterator<Item = (record::Key, revision::Revision)> {
+    fn present_keys(&self) -> impl Iterator<Item = (record::Key, revision::Write)> {
         let targets = self
             .targets
             .values()
             .filter(|target| target.removed_at.is_none())
-            .map(|target| (record::Key::Target(target.id), target.revision));
+            .map(|target| (record::Key::Target(target.id), target.write));
         let zones = self
             .zones
             .iter()
             .filter(|(_, zone)| zone.out)
-            .map(|(name, zone)| (record::Key::ZoneOut(name.clone()), zone.revision));
+            .map(|(name, zone)| (record::Key::ZoneOut(name.clone()), zone.write));
         targets.chain(zones)
     }
 
@@ -372,6 +381,10 @@
         }
         self.targets.retain(|_, target| !is_old(target));
         let targets = &self.targets;
+        self.doubts.retain(|key, _| match key {
+            record::Key::Target(id) => targets.contains_key(id),
+            _ => true,
+        });
         self.cookies.retain(|_, id| targets.contains_key(id));
         self.addresses.retain(|_, id| targets.contains_key(id));
         self.services.retain(|_, ids| {
@@ -381,7 +394,21 @@
     }
 }
 
+/// Returns the removal of a record as of a revision.
+fn removal(key: record::Key, as_of: revision::Revision) -> record::Record {
+    record::Record {
+        key,
+        write: revision::Write::dated(as_of),
+        body: None,
+        removed_ms: Some(0),
+        unconfirmed_ms: None,
+    }
+}
+
 fn age_ms(now: Duration, at: Option<Duration>) -> u32 {
-    let age = now.saturating_sub(at.unwrap_or_default()).as_millis();
-    u32::try_from(age).unwrap_or(u32::MAX)
+    millis(now.saturating_sub(at.unwrap_or_default()))
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/mulberrynotch_steer/src/catalog/merge.rs
+++ b/crates/mulberrynotch_steer/src/catalog/merge.rs
@@ -1,6 +1,7 @@
 //! Merging of records. A record takes effect only if its revision is the latest one seen.
 
 use std::{
+    cmp::Ordering,
     sync::Arc,
     time::Duration, //
 };
@@ -65,48 +66,45 @@
         record: record::Record,
         mass_removal: bool,
     ) -> Option<Change> {
-        if self
-            .revision_of(&record.key)
-            .is_some_and(|known| known >= record.revision)
-            && record.key != record::Key::Configuration
-        {
-            return self.merge_doubt(now, &record);
+        let known = self.write_of(&record.key);
+        let is_known = known.is_some_and(|known| !record.write.is_after(known));
+        if is_known && record.key != record::Key::Configuration {
+            return None;
         }
-        let (key, unconfirmed) = (record.key.clone(), record.unconfirmed);
-        let is_current = record.revision.era == self.as_of.era;
+        let (key, unconfirmed_ms) = (record.key.clone(), record.unconfirmed_ms);
+        let is_current = record.write.at.era == self.as_of.era;
         let change = match key.clone() {
             record::Key::Configuration => self.merge_configuration(record),
             record::Key::ZoneOut(zone) => self.merge_zone(now, zone, &record),
             record::Key::Target(id) => self.merge_target(now, id, record, mass_removal),
         };
-        if unconfirmed {
-            self.doubt(now, key);
+        let doubt = if let Some(left) = unconfirmed_ms {
+            self.doubt_for(now, key, Duration::from_millis(left.into()))
         } else if is_current {
-            self.doubts.remove(&key);
-        }
-        change
-    }
-
-    /// Adopts a peer's doubt about a record that this process knows as well.
-    fn merge_doubt(&mut self, now: Duration, record: &record::Record) -> Option<Change> {
-        let is_known = self.revision_of(&record.key) == Some(record.revision);
-        let is_adopted = record.unconfirmed && is_known;
-        is_adopted.then(|| self.doubt(now, record.key.clone()))?
+            self.confirm(&key)
+        } else {
+            None
+        };
+        change.or(doubt)
     }
 
     fn merge_configuration(&mut self, record: record::Record) -> Option<Change> {
         let Some(record::Body::Configuration(configuration)) = record.body else {
             return None;
         };
-        let (known, known_revision) = (&self.configuration, self.configuration_revision);
-        if (configuration.version, record.revision) <= (known.version, known_revision) {
+        let (known, known_write) = (&self.configuration, self.configuration_write);
+        let is_newer = match configuration.version.cmp(&known.version) {
+            Ordering::Equal => record.write.is_after(known_write),
+            order => order == Ordering::Greater,
+        };
+        if !is_newer {
             return None;
         }
-        let (version, revision) = (configuration.version, record.revision);
+        let (version, write) = (configuration.version, record.write);
         if !configuration.is_valid() {
-            return Some(Change::Refused { version, revision });
+            return Some(Change::Refused { version, write });
         }
-        self.configuration_revision = revision;
+        self.configuration_write = write;
         if version == known.version && configuration.digest() == known.digest() {
             return None;
         }
@@ -123,15 +121,15 @@
         record: &record::Record,
     ) -> Option<Change> {
         let zone = self.zones.entry(name.clone()).or_insert(Zone {
-            revision: revision::Revision::START,
+            write: revision::Write::default(),
             out_number: None,
             out: false,
             returned_at: None,
         });
-        zone.revision = record.revision;
+        zone.write = record.write;
         let out = record.removed_ms.is_none();
         if out {
-            zone.out_number = Some(record.revision.number);
+            zone.out_number = Some(record.write.at.number);
         }
         let changed = out != zone.out || (!out && zone.returned_at.is_none());
         zone.out = out;
@@ -157,16 +155,16 @@
         });
         match record.body {
             Some(record::Body::Target(mut entry)) => {
-                entry.draining |= known.is_some_and(|it| it.drains_beyond(&entry, record.revision));
-                self.insert(now, id, record.revision, entry, removed_at);
+                entry.draining |= known.is_some_and(|it| it.drains_beyond(&entry, record.write));
+                self.insert(now, id, record.write, entry, removed_at);
             }
-            _ => self.remove(now, id, record.revision, mass_removal)?,
+            _ => self.remove(now, id, record.write, mass_removal)?,
         }
         let target = self.targets.get(&id)?;
         let started_after = target.entry.started_ms;
         Some(Change::Target {
             id,
-            revision: record.revision,
+            write: record.write,
             state: target.state(now),
             restarted: started_before.is_some_and(|before| before < started_after),
         })
@@ -176,7 +174,7 @@
         &mut self,
         now: Duration,
         id: record::Id,
-        revision: revision::Revision,
+        write: revision::Write,
         entry: record::Target,
         removed_at: Option<Duration>,
     ) {
@@ -201,8 +199,8 @@
             id,
             warm_at: now + Duration::from_millis(entry.cold_ms.into()),
             entry,
-            revision,
-            written_revision: revision,
+            write,
+            own_write: write,
             ended,
             removed_at,
             removal_effective_at: Duration::ZERO,
@@ -236,11 +234,11 @@
         &mut self,
         now: Duration,
         id: record::Id,
-        revision: revision::Revision,
+        write: revision::Write,
         mass_removal: bool,
     ) -> Option<()> {
         let target = self.targets.get_mut(&id)?;
-        target.revision = revision;
+        target.write = write;
         if target.removed_at.is_none() {
             target.removed_at = Some(now);
             if mass_removal && !target.entry.draining {
--- a/crates/mulberrynotch_steer/src/catalog/restore.rs
+++ b/crates/mulberrynotch_steer/src/catalog/restore.rs
@@ -10,7 +10,8 @@
 use super::{
     Catalog,
     Change,
-    Target, //
+    Target,
+    millis, //
 };
 use crate::{
     record,
@@ -24,14 +25,13 @@
 /// Time for operators to take a zone out of service again, or to return it again.
 const ZONE_DOUBT: Duration = Duration::from_secs(60);
 
-/// Additional time after which a balancer resolves a doubt without a complete read of the store; the
-/// reader of its zone reads the store in this time.
+/// Additional time in which the reader of a zone reads the store and sends the others the result.
 const RESOLUTION_TIME: Duration = Duration::from_secs(4);
 
 /// Relation of an undated record to what is known.
 enum Dating {
-    /// It was written at this revision.
-    Written(revision::Revision),
+    /// This is its write.
+    Written(revision::Write),
     /// It is known already.
     Known,
     /// It is older than what is known.
@@ -51,6 +51,20 @@
         self.doubts.values().any(|until| now >= *until)
     }
 
+    /// Returns whether the reader of the zone should have resolved a doubt by now.
+    pub fn is_doubt_overdue(&self, now: Duration) -> bool {
+        now.checked_sub(RESOLUTION_TIME)
+            .is_some_and(|before| self.is_doubt_over(before))
+    }
+
+    /// Ends the doubt about a record that was written again or that the store still has.
+    pub(super) fn confirm(&mut self, key: &record::Key) -> Option<Change> {
+        self.doubts.remove(key)?;
+        let write = self.write_of(key)?;
+        let key = key.clone();
+        Some(Change::Confirmed { key, write })
+    }
+
     /// Dates undated records of a message or list as of `as_of`, and leaves out the ones that add
     /// nothing to what is known.
     pub(super) fn date_all(
@@ -65,13 +79,22 @@
             if self.is_gone(as_of, &record) {
                 continue;
             }
-            if !record.revision.is_undated() {
+            let known = self.write_of(&record.key);
+            let is_same = known.is_some_and(|known| known.at == record.write.at);
+            let is_unconfirmed = record.unconfirmed_ms.is_some();
+            if is_same || is_unconfirmed && self.has_content(&record) {
+                changes.extend(self.merge_doubt(now, as_of, &record));
+                if is_unconfirmed {
+                    continue;
+                }
+            }
+            if record.write.dated {
                 dated.push(record);
                 continue;
             }
-            match self.date(as_of.era, &record) {
-                Dating::Written(revision) => dated.push(record::Record { revision, ..record }),
-                Dating::Known => drop(self.doubts.remove(&record.key)),
+            match self.date(&record) {
+                Dating::Written(write) => dated.push(record::Record { write, ..record }),
+                Dating::Known => changes.extend(self.confirm(&record.key)),
                 Dating::Older => dated.extend(self.keep_or_resolve(now, as_of, record, changes)),
             }
         }
@@ -83,25 +106,43 @@
     fn is_gone(&self, as_of: revision::Revision, record: &record::Record) -> bool {
         let listed = self.complete_since;
         let is_behind = as_of.era == listed.era && as_of < listed;
-        let is_present = record.removed_ms.is_none() && !record.unconfirmed;
-        is_behind && is_present && self.revision_of(&record.key).is_none()
+        let is_present = record.removed_ms.is_none() && record.unconfirmed_ms.is_none();
+        is_behind && is_present && self.write_of(&record.key).is_none()
     }
 
-    /// Determines when a record was written that was read in `era`. The copy contains only numbers
-    /// that the store gave out before, so a number above the known one was written later.
-    fn date(&self, era: u64, record: &record::Record) -> Dating {
-        let number = record.revision.number;
-        let written = Dating::Written(revision::Revision { era, number });
-        let Some(known) = self.revision_of(&record.key) else {
+    /// Adopts the doubt of a peer, as of `as_of`, about a record that this process knows as well, or
+    /// the end of that doubt.
+    fn merge_doubt(
+        &mut self,
+        now: Duration,
+        as_of: revision::Revision,
+        record: &record::Record,
+    ) -> Option<Change> {
+        if as_of.era != self.as_of.era {
+            None
+        } else if let Some(left) = record.unconfirmed_ms {
+            let left = Duration::from_millis(left.into());
+            self.doubt_for(now, record.key.clone(), left)
+        } else {
+            self.confirm(&record.key)
+        }
+    }
+
+    /// Determines when an undated record was written. The copy contains only numbers that the store
+    /// gave out before, so a number above the known one was written later.
+    fn date(&self, record: &record::Record) -> Dating {
+        let at = record.write.at;
+        let written = Dating::Written(revision::Write::dated(at));
+        let Some(known) = self.write_of(&record.key) else {
             // A process that had every change would know an older record.
             let is_new = self.as_of != revision::Revision::START;
             return if is_new {
                 written
             } else {
-                Dating::Written(record.revision)
+                Dating::Written(record.write)
             };
         };
-        if known.era == era || number > known.number {
+        if known.at.era == at.era || at.number > known.at.number {
             return written;
         }
         match &record.body {
@@ -130,7 +171,7 @@
         let zone = self.zones.get(name);
         if zone.is_some_and(|it| it.out) {
             Dating::Known
-        } else if zone.is_some_and(|it| it.out_number == Some(record.revision.number)) {
+        } else if zone.is_some_and(|it| it.out_number == Some(record.write.at.number)) {
             Dating::Older
         } else {
             written
@@ -169,6 +210,9 @@
         record: record::Record,
         changes: &mut Vec<Change>,
     ) -> Option<record::Record> {
+        if as_of < self.as_of {
+            return None;
+        }
         let until = self.doubts.get(&record.key).copied();
         if until.is_none_or(|until| now < until) {
             changes.extend(self.doubt(now, record.key));
@@ -178,28 +222,36 @@
         let is_final = match &record.key {
             record::Key::Target(id) => {
                 let target = self.targets.get_mut(id).filter(|it| it.entry.draining);
-                target.map(|it| it.revision = as_of).is_some()
+                target
+                    .map(|it| it.write = revision::Write::dated(as_of))
+                    .is_some()
             }
             record::Key::Configuration => true,
             record::Key::ZoneOut(_) => false,
         };
-        let revision = as_of;
-        (!is_final).then_some(record::Record { revision, ..record })
+        let write = revision::Write::dated(as_of);
+        (!is_final).then_some(record::Record { write, ..record })
     }
 
     /// Opens a doubt about a record, unless there is one.
     pub(super) fn doubt(&mut self, now: Duration, key: record::Key) -> Option<Change> {
-        let time = match key {
-            record::Key::Configuration => return None,
-            record::Key::ZoneOut(_) => ZONE_DOUBT,
-            record::Key::Target(_) => TARGET_DOUBT,
-        };
-        if self.doubts.contains_key(&key) {
+        let time = time_for(&key);
+        self.doubt_for(now, key, time)
+    }
+
+    pub(super) fn doubt_for(
+        &mut self,
+        now: Duration,
+        key: record::Key,
+        time: Duration,
+    ) -> Option<Change> {
+        let is_versioned = key == record::Key::Configuration;
+        if is_versioned || self.doubts.contains_key(&key) {
             return None;
         }
-        let revision = self.revision_of(&key)?;
+        let write = self.write_of(&key)?;
         self.doubts.insert(key.clone(), now + time);
-        Some(Change::Kept { key, revision })
+        Some(Change::Kept { key, write })
     }
 
     /// Merges records that a process of an earlier era has. The store has lost what differs from the
@@ -209,15 +261,26 @@
         now: Duration,
         records: Vec<record::Record>,
     ) -> Vec<Change> {
-        let differs = |it: &record::Record| !it.revision.is_undated() && !self.has_content(it);
+        let differs = |it: &record::Record| it.write.dated && !self.has_content(it);
         let lost: Vec<_> = records.into_iter().filter(differs).collect();
         let lost = lost.into_iter().map(|it| record::Record {
-            unconfirmed: true,
+            unconfirmed_ms: it.unconfirmed_ms.or(Some(millis(time_for(&it.key)))),
             ..it
         });
         self.merge(now, lost.collect())
     }
 
+    /// Returns the highest known number that a list shows with the known content. The copy that the
+    /// store returned from was made later, so targets of lower numbers that the list lacks are gone.
+    pub(super) fn copied_until(&self, records: &[record::Record]) -> u64 {
+        let is_copied = |it: &&record::Record| {
+            let known = self.write_of(&it.key).map(|known| known.at.number);
+            known == Some(it.write.at.number) && self.has_content(it)
+        };
+        let copied = records.iter().filter(is_copied);
+        copied.map(|it| it.write.at.number).max().unwrap_or(0)
+    }
+
     fn has_content(&self, record: &record::Record) -> bool {
         match (&record.key, &record.body) {
             (record::Key::Target(id), Some(record::Body::Target(entry))) => {
@@ -238,37 +301,13 @@
         let before = std::mem::replace(&mut self.as_of, as_of);
         Change::Restored { before, as_of }
     }
+}
 
-    /// Resolves the doubts whose time is long over: records that nobody has written again and that no
-    /// read of the store confirmed are removed.
-    pub fn resolve_doubts(&mut self, now: Duration) -> Vec<Change> {
-        let is_over = |until: &Duration| now >= *until + RESOLUTION_TIME;
-        let over: Vec<_> = self
-            .doubts
-            .extract_if(.., |_, until| is_over(until))
-            .collect();
-        let keys = over.into_iter().map(|(key, _)| key);
-        let present = keys.filter(|key| self.is_present(key) && !self.is_draining(key));
-        let removals: Vec<_> = present.map(|key| self.removal(key)).collect();
-        self.merge(now, removals)
-    }
-
-    fn is_draining(&self, key: &record::Key) -> bool {
-        let record::Key::Target(id) = key else {
-            return false;
-        };
-        self.targets.get(id).is_some_and(|it| it.entry.draining)
-    }
-
-    /// Returns the removal of a record as of the latest known revision.
-    pub(super) fn removal(&self, key: record::Key) -> record::Record {
-        record::Record {
-            key,
-            revision: self.as_of,
-            body: None,
-            removed_ms: Some(0),
-            unconfirmed: false,
-        }
+/// Returns the time for the writer of a record to write it again.
+fn time_for(key: &record::Key) -> Duration {
+    match key {
+        record::Key::Target(_) => TARGET_DOUBT,
+        record::Key::ZoneOut(_) | record::Key::Configuration => ZONE_DOUBT,
     }
 }
 
--- a/crates/mulberrynotch_steer/src/catalog/target.rs
+++ b/crates/mulberrynotch_steer/src/catalog/target.rs
@@ -15,11 +15,10 @@
         pub id: record::Id,
         /// Entry that the target published.
         pub entry: record::Target,
-        /// Revision of the last change, including a removal.
-        pub revision: revision::Revision,
-        /// Revision of the last entry that the target published itself; a removal does not change
-        /// it.
-        pub written_revision: revision::Revision,
+        /// Last write of the entry, including a removal.
+        pub write: revision::Write,
+        /// Last write by the target itself; a removal does not change it.
+        pub own_write: revision::Write,
         /// True when another target has its address: it has ended, and no packet reaches it.
         pub ended: bool,
         /// Time at which the target's warm-up ends.
@@ -72,22 +71,17 @@
     /// Returns whether this target started after another one. Its entry must also be the later one,
     /// since the clock of a VM may be set back.
     pub(super) fn supersedes(&self, other: &Self) -> bool {
-        self.entry.started_ms > other.entry.started_ms
-            && self.written_revision > other.written_revision
+        self.entry.started_ms > other.entry.started_ms && self.own_write.is_after(other.own_write)
     }
 
-    /// Returns whether the target keeps draining though a later entry says otherwise. A target does
-    /// not stop draining, so the store wrote an entry of its copy again.
-    pub(super) fn drains_beyond(
-        &self,
-        entry: &record::Target,
-        written: revision::Revision,
-    ) -> bool {
-        let is_restored = !self.revision.is_undated() && self.revision.era < written.era;
+    /// Returns whether the target keeps draining though an entry of a later `write` says otherwise. A
+    /// target does not stop draining, so an entry of the store's copy was written again.
+    pub(super) fn drains_beyond(&self, entry: &record::Target, write: revision::Write) -> bool {
+        let is_restored = self.write.at.era < write.at.era;
         is_restored && self.entry.draining && self.entry.started_ms == entry.started_ms
     }
 
-    pub(super) fn to_record(&self, now: Duration, unconfirmed: bool) -> record::Record {
+    pub(super) fn to_record(&self, now: Duration, unconfirmed_ms: Option<u32>) -> record::Record {
         let cold = self.warm_at.saturating_sub(now).as_millis();
         let entry = record::Target {
             cold_ms: u32::try_from(cold).unwrap_or(u32::MAX),
@@ -95,10 +89,10 @@
         };
         record::Record {
             key: record::Key::Target(self.id),
-            revision: self.revision,
+            write: self.write,
             body: Some(record::Body::Target(entry)),
             removed_ms: self.removed_at.map(|at| age_ms(now, Some(at))),
-            unconfirmed,
+            unconfirmed_ms,
         }
     }
 }
--- a/crates/mulberrynotch_steer/src/machine/fetch.rs
+++ b/crates/mulberrynotch_steer/src/machine/fetch.rs
@@ -78,9 +78,18 @@
     }
 
     pub(super) fn pull(&mut self, now: Duration, from: SocketAddrV4) {
+        self.pull_since(now, from, self.catalog.as_of());
+    }
+
+    /// Fetches all records from a peer.
+    pub(super) fn pull_all(&mut self, now: Duration, from: SocketAddrV4) {
+        self.pull_since(now, from, revision::Revision::START);
+    }
+
+    fn pull_since(&mut self, now: Duration, from: SocketAddrV4, since: revision::Revision) {
         self.pulled_at = Some(now);
         let pull = message::Pull {
-            since: self.catalog.as_of(),
+            since,
             version: self.catalog.configuration().version,
             removed: self.lacks_removed(now),
         };
--- a/crates/mulberrynotch_steer/src/machine/push.rs
+++ b/crates/mulberrynotch_steer/src/machine/push.rs
@@ -33,9 +33,9 @@
         let mut published = records
             .iter()
             .filter(|it| it.key == record::Key::Configuration);
-        let revision = published.next_back()?.revision;
+        let write = published.next_back()?.write;
         let next = self.catalog.configuration();
-        Some(patch::Patch::between(base, next, revision))
+        Some(patch::Patch::between(base, next, write))
     }
 
     /// Sends the zone what a complete read changed, and the doubts about what the store has lost.
@@ -51,11 +51,8 @@
             return;
         }
         let changed = changes.iter().filter_map(catalog::Change::key);
-        let unconfirmed = self
-            .catalog
-            .unconfirmed()
-            .filter(|_| before.era < as_of.era);
-        let keys: BTreeSet<_> = changed.chain(unconfirmed).collect();
+        let later = self.catalog.keys_since(before);
+        let keys: BTreeSet<_> = changed.chain(later).collect();
         let records = self.catalog.records(now, keys);
         let patch = self.patch(base, &records);
         self.push_changes(now, before, as_of, patch, records);
@@ -153,19 +150,19 @@
         if present.version > patch.version || present.digest() == patch.digest {
             return Some(record::Record {
                 key: record::Key::Configuration,
-                revision: patch.revision,
+                write: patch.write,
                 body: None,
                 removed_ms: None,
-                unconfirmed: false,
+                unconfirmed_ms: None,
             });
         }
         let next = patch.apply(present)?;
         Some(record::Record {
             key: record::Key::Configuration,
-            revision: patch.revision,
+            write: patch.write,
             body: Some(record::Body::Configuration(Arc::new(next))),
             removed_ms: None,
-            unconfirmed: false,
+            unconfirmed_ms: None,
         })
     }
 }
@@ -187,7 +184,7 @@
     mut patch: Option<patch::Patch>,
     mut records: Vec<record::Record>,
 ) -> Vec<message::Changes> {
-    records.sort_by_key(|it| it.revision);
+    records.sort_by_key(|it| it.write.at);
     let count = records.len().div_ceil(MAX_RECORDS);
     let mut parts = Vec::new();
     let mut since = since;
@@ -204,7 +201,7 @@
         let end = chunk
             .last()
             .filter(|_| !last)
-            .map_or(as_of, |it| it.revision);
+            .map_or(as_of, |it| it.write.at);
         let (published, others): (Vec<_>, Vec<_>) = chunk
             .iter()
             .cloned()
--- a/crates/mulberrynotch_steer/src/machine/time.rs
+++ b/crates/mulberrynotch_steer/src/machine/time.rs
@@ -2,9 +2,12 @@
 
 use std::{
     collections::BTreeSet,
+    net::SocketAddrV4,
     time::Duration, //
 };
 
+use mulberrynotch_policy::rendezvous;
+
 use super::{
     CLEAN_UP_PERIOD,
     CONFIRMATION_TIMEOUT,
@@ -79,14 +82,17 @@
     }
 
     /// Resolves doubts about what the store lost when it returned from a copy. A reader reads the
-    /// store once more; the others wait for it, and for contact to the store or a peer.
+    /// store once more. Another balancer that has not heard of the result fetches everything from a
+    /// peer.
     fn check_doubts(&mut self, now: Duration) {
         if self.catalog.is_doubt_over(now) && self.reader.is_healthy(now) {
             self.reader.list_instead_of_watch();
         }
-        if self.is_current(now) {
-            let changes = self.catalog.resolve_doubts(now);
-            self.handle_catalog_changes(now, changes);
+        if self.catalog.is_doubt_overdue(now) {
+            let seed = self.next_random();
+            let weight = |it: &SocketAddrV4| rendezvous::hash_address((*it).into(), seed);
+            let peer = self.fleet.live_anywhere(now).max_by_key(weight);
+            peer.into_iter().for_each(|peer| self.pull_all(now, peer));
         }
     }
 
--- a/crates/mulberrynotch_steer/src/patch.rs
+++ b/crates/mulberrynotch_steer/src/patch.rs
@@ -19,8 +19,8 @@
         pub version: u64,
         /// Digest of the resulting configuration.
         pub digest: u64,
-        /// Revision of the resulting record.
-        pub revision: revision::Revision,
+        /// Write of the resulting record.
+        pub write: revision::Write,
         /// Routes that were added or changed.
         pub routes: Vec<record::Route>,
         /// Addresses of removed routes.
@@ -33,11 +33,11 @@
 }
 
 impl Patch {
-    /// Returns the changes from `base` to `next`, which is published in a record of `revision`.
+    /// Returns the changes from `base` to `next`, which is published in a record of `write`.
     pub fn between(
         base: &record::Configuration,
         next: &record::Configuration,
-        revision: revision::Revision,
+        write: revision::Write,
     ) -> Self {
         let base_routes: BTreeMap<_, _> = base.routes.iter().map(|it| (it.address, it)).collect();
         let next_routes: BTreeMap<_, _> = next.routes.iter().map(|it| (it.address, it)).collect();
@@ -49,7 +49,7 @@
             base: base.version,
             version: next.version,
             digest: next.digest(),
-            revision,
+            write,
             routes: next.routes.iter().filter(is_changed).cloned().collect(),
             removed: removed_routes.copied().collect(),
             services: (base.services != next.services).then(|| next.services.clone()),
--- a/crates/mulberrynotch_steer/src/reader.rs
+++ b/crates/mulberrynotch_steer/src/reader.rs
@@ -139,7 +139,11 @@
         let rank = u32::try_from(zone.rank)
             .unwrap_or(u32::MAX)
             .min(MAX_TAKEOVER_STEPS);
-        let is_responsible = rank == 0 || as_of == revision::Revision::START || self.list_needed;
+        // A reader that lost the history goes on until a watch succeeds.
+        let is_responsible = rank == 0
+            || as_of == revision::Revision::START
+            || self.list_needed
+            || self.lost_histories > 0;
         let takes_over = zone.reader_age >= TAKEOVER_AGE + zone.relay_delay + TAKEOVER_STEP * rank;
         if self.pending.is_some() || now < self.next_at || !(is_responsible || takes_over) {
             return None;
@@ -224,6 +228,8 @@
         let within = |at: Duration, limit| now.saturating_sub(at) < limit;
         let is_watching = match self.pending {
             Some((Call::Watch { .. }, since)) => within(since, WATCH_WAIT + TIMEOUT),
+            // Complete reads replace the watch while the store has no history.
+            _ if self.lost_histories > 0 => true,
             _ => self
                 .watched_at
                 .is_some_and(|at| within(at, CHANGE_PAUSE * 3)),
--- a/crates/mulberrynotch_steer/src/record.rs
+++ b/crates/mulberrynotch_steer/src/record.rs
@@ -36,15 +36,15 @@
     pub struct Record {
         /// Subject of the record.
         pub key: Key,
-        /// Revision of the last change of the record; revisions order all changes of the register.
-        pub revision: revision::Revision,
+        /// Last write of the record; writes order all changes of the register.
+        pub write: revision::Write,
         /// Content; `None` for a removal whose content is unknown.
         pub body: Option<Body>,
         /// Time since the removal, in milliseconds; `None` while the record is present.
         pub removed_ms: Option<u32>,
-        /// True when the store returned from a copy that lacks the record, and its writer has not
-        /// written it again.
-        pub unconfirmed: bool,
+        /// Time left for the writer to write the record again, in milliseconds, when the store has
+        /// returned from a copy that lacks it; `None` otherwise.
+        pub unconfirmed_ms: Option<u32>,
     }
 
     /// Content of a record.
--- a/crates/mulberrynotch_steer/src/revision.rs
+++ b/crates/mulberrynotch_steer/src/revision.rs
@@ -9,27 +9,49 @@
     /// revision numbers of the previous era again, so a number alone orders nothing.
     #[derive(Default, serde::Serialize, serde::Deserialize)]
     pub struct Revision {
-        /// Era in which the change was written; 0 when it is unknown, or when the store does not
-        /// count eras.
+        /// Era of the store; 0 for a store that does not count eras.
         pub era: u64,
         /// Revision number, which increases with each change in an era.
         pub number: u64,
     }
+
+    /// Last write of a record.
+    #[derive(Default, serde::Serialize, serde::Deserialize)]
+    pub struct Write {
+        /// Point of the write, or the latest possible one.
+        pub at: Revision,
+        /// False when the record was read from a list. A list shows the number of the last write,
+        /// but not whether that write preceded the return of the store from a copy.
+        pub dated: bool,
+    }
 }
 
 impl Revision {
     /// Point before the first change.
     pub const START: Self = Self { era: 0, number: 0 };
+}
+
+impl Write {
+    /// Returns the write of a change that the store reported at `at`.
+    pub const fn dated(at: Revision) -> Self {
+        Self { at, dated: true }
+    }
 
-    /// Returns the revision of a record that was read from a list. The list shows the number of the
-    /// last write, but not whether that write preceded the return of the store from a copy.
-    pub const fn undated(number: u64) -> Self {
-        Self { era: 0, number }
+    /// Returns the write of a record in a list of `at.era` that shows `at.number`.
+    pub const fn undated(at: Revision) -> Self {
+        Self { at, dated: false }
     }
 
-    /// Returns whether the era of the write is unknown.
-    pub const fn is_undated(self) -> bool {
-        self.era == 0
+    /// Returns whether this write followed another one. Among the writes of its own era and of
+    /// earlier ones, the number of an undated write decides.
+    pub fn is_after(self, other: Self) -> bool {
+        let by_number = !self.dated && other.at.era <= self.at.era
+            || !other.dated && self.at.era <= other.at.era;
+        if by_number {
+            self.at.number > other.at.number
+        } else {
+            self.at > other.at
+        }
     }
 }
 
@@ -38,3 +60,10 @@
         write!(f, "{}.{}", self.era, self.number)
     }
 }
+
+impl fmt::Display for Write {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mark = if self.dated { "" } else { "~" };
+        write!(f, "{mark}{}", self.at)
+    }
+}
--- a/crates/mulberrynotch_steer/tests/spread.rs
+++ b/crates/mulberrynotch_steer/tests/spread.rs
@@ -87,9 +87,9 @@
         let (mut version, mut revision) = (1, rev(2));
         for step in &order {
             let record = steps[*step].clone();
-            catalog.apply_changes(at(10), rev(5), record.revision, vec![record]);
+            catalog.apply_changes(at(10), rev(5), record.write.at, vec![record]);
             let now_version = catalog.configuration().version;
-            let now_revision = catalog.target(record::Id(7)).unwrap().revision;
+            let now_revision = catalog.target(record::Id(7)).unwrap().write.at;
             assert!(
                 now_version >= version && now_revision >= revision,
                 "{order:?}"
@@ -215,7 +215,7 @@
             }
         };
         let (base, next) = (make(3, &before), make(5, &after));
-        let patch = patch::Patch::between(&base, &next, rev(9));
+        let patch = patch::Patch::between(&base, &next, Default::default());
         let other = make(4, &before);
         patch.apply(&base).as_ref() == Some(&*next) && patch.apply(&other).is_none()
     }
