Refuse a revision that the peers have with other content

The first version seen of a revision now counts with its digest, wherever it was seen. Ruled out: the watch of running processes; it never returns a register of the same revision.

Test: a_joining_process_takes_the_register_of_its_peers_under_a_revision_given_out_twice failed before (serves by the other one) and passes.

--- a/crates/mulberrynotch_policy/src/control/calls.rs
+++ b/crates/mulberrynotch_policy/src/control/calls.rs
@@ -316,7 +316,7 @@
     }
 
     fn apply_register(&mut self, now: Duration, register: Arc<model::Register>) {
-        let highest_revision = self.configuration.highest_revision;
+        let highest_revision = self.configuration.latest.revision;
         let revision = register.revision;
         if self.joined {
             self.accept_if_newer(now, register.clone());
--- a/crates/mulberrynotch_policy/src/control/configuration.rs
+++ b/crates/mulberrynotch_policy/src/control/configuration.rs
@@ -64,8 +64,8 @@
     pub(super) register: Arc<model::Register>,
     pub(super) version: Version,
     pub(super) accepted_at: Duration,
-    /// Highest revision seen from the platform or a peer.
-    pub(super) highest_revision: u64,
+    /// Latest version seen from the platform or a peer; the first one seen of its revision.
+    pub(super) latest: Version,
     pub(super) refused: VecDeque<status::Refusal>,
     history: VecDeque<(Version, Arc<model::Register>)>,
     pull_until: Duration,
@@ -80,7 +80,7 @@
             version: delta::version(&register),
             register,
             accepted_at: Duration::ZERO,
-            highest_revision: 0,
+            latest: Version::default(),
             refused: VecDeque::new(),
             history: VecDeque::new(),
             pull_until: Duration::ZERO,
@@ -91,7 +91,13 @@
 
     /// Returns true when a revision above the one in effect is known.
     pub(super) fn is_behind(&self) -> bool {
-        self.highest_revision > self.version.revision
+        self.latest.revision > self.version.revision
+    }
+
+    fn record(&mut self, version: Version) {
+        if version.revision > self.latest.revision {
+            self.latest = version;
+        }
     }
 }
 
@@ -108,14 +114,18 @@
         if version == held {
             return false;
         }
-        if version.revision == held.revision {
+        let latest = self.configuration.latest;
+        if [held, latest]
+            .iter()
+            .any(|it| it.revision == version.revision && *it != version)
+        {
             self.refuse_conflict(now, version);
             return false;
         }
-        if version.revision < self.configuration.highest_revision {
+        if version.revision < latest.revision {
             let reason = format!(
                 "revision {} was already seen; publish with a higher revision",
-                self.configuration.highest_revision
+                latest.revision
             );
             self.refuse(now, version, reason);
             return false;
@@ -128,7 +138,7 @@
         let state = &mut self.configuration;
         let old = std::mem::replace(&mut state.register, register);
         let base = std::mem::replace(&mut state.version, version);
-        state.highest_revision = version.revision;
+        state.latest = version;
         state.accepted_at = now;
         state.pull_until = now;
         state.history.push_back((base, old.clone()));
@@ -182,7 +192,7 @@
     /// Records the version held by a peer and pulls it when it is newer.
     pub(super) fn handle_version(&mut self, now: Duration, from: SocketAddr, version: Version) {
         let state = &mut self.configuration;
-        state.highest_revision = state.highest_revision.max(version.revision);
+        state.record(version);
         if version.revision == state.version.revision && version != state.version {
             self.refuse_conflict(now, version);
             return;
@@ -239,7 +249,7 @@
     /// Fetches the whole register from a peer that offers a newer one.
     pub(super) fn handle_offer(&mut self, now: Duration, from: SocketAddr, version: Version) {
         let state = &mut self.configuration;
-        state.highest_revision = state.highest_revision.max(version.revision);
+        state.record(version);
         if version.revision > state.version.revision && now >= state.fetch_until {
             state.fetch_until = now + FETCH_TIMEOUT;
             self.actions.push_back(Action::FetchSnapshot { from });
--- a/crates/mulberrynotch_policy/src/control/status.rs
+++ b/crates/mulberrynotch_policy/src/control/status.rs
@@ -113,7 +113,7 @@
         Status {
             revision: configuration.version.revision,
             digest: configuration.version.digest,
-            highest_revision: configuration.highest_revision,
+            highest_revision: configuration.latest.revision,
             age: now.saturating_sub(configuration.accepted_at),
             refused: configuration.refused.iter().cloned().collect(),
             members: self
--- a/crates/mulberrynotch_policy/tests/control_machine.rs
+++ b/crates/mulberrynotch_policy/tests/control_machine.rs
@@ -129,6 +129,45 @@
     assert!(machine.view().confirmed);
 }
 
+/// Guards against a process that starts after the platform returned from a copy, and serves by a
+/// register that its peers refuse because they have another one of the same revision.
+#[test]
+fn a_joining_process_takes_the_register_of_its_peers_under_a_revision_given_out_twice() {
+    println!("seed {SEED}");
+    let peer = member("peer", 2);
+    let config = Config {
+        me: member("me", 1),
+        seeds: vec![peer.peer],
+    };
+    let mut machine = Machine::new(config, SEED);
+    run_ticks(&mut machine, 0, 100);
+    let held = delta::version(&register(2));
+    let ping = Message::Ping {
+        sequence: 1,
+        sender: peer.clone(),
+        summary: Summary {
+            version: held,
+            members_digest: 0,
+            platform_age_seconds: 0,
+        },
+        updates: Vec::new(),
+    };
+    machine.receive(ms(200), "peer", peer.peer, ping);
+    let mut again = register(2);
+    again.zones.push(model::Zone {
+        name: "zone-9".into(),
+        region: "".into(),
+        out: false,
+    });
+    machine.handle_response(ms(300), Response::Register(Arc::new(again)));
+    run_ticks(&mut machine, 300, 3_000);
+    assert!(
+        machine.view().register.zones.is_empty(),
+        "serves by the other one"
+    );
+    assert_eq!(machine.status(ms(3_000)).refused.len(), 1);
+}
+
 /// Guards against a pause that shows only in the time of the next input and goes undetected.
 #[test]
 fn pause_is_detected_from_the_time_of_the_next_input() {
