Report a platform that returned from a copy, and watch from what is held

run: a watch returns only registers above the highest revision, also above the highest invalid one. After the platform returned from a copy of before an invalid publication, valid registers up to its revision were never returned, and nobody was told that the platform was behind.

A response without a register now carries the revision that the platform has (header register-revision, optional). A lower one than known is reported like a refused register, and the watch goes back to the revision in effect.

Test: a_platform_that_returned_from_a_copy_is_reported_and_watched_from_the_held_revision; without the call it fails (watches above 9, expected 2).

--- a/crates/mulberrynotch_net/src/platform.rs
+++ b/crates/mulberrynotch_net/src/platform.rs
@@ -22,6 +22,9 @@
     http, //
 };
 
+/// Header of a response without a register, with the revision of the register that the platform has.
+const REVISION_HEADER: &str = "register-revision";
+
 /// Time limit for a response, in addition to the wait of a watch.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -99,7 +102,9 @@
         match self.call(path, timeout).await {
             None => control::Response::RegisterFailed,
             Some(response) if response.status == ::http::StatusCode::NOT_MODIFIED => {
-                control::Response::Unchanged
+                control::Response::Unchanged {
+                    published: published(&response.headers),
+                }
             }
             Some(response) => parse(&response.body),
         }
@@ -130,6 +135,12 @@
     }
 }
 
+/// Returns the revision of the register that the platform has, if it says so.
+fn published(headers: &::http::HeaderMap) -> Option<u64> {
+    let revision = headers.get(REVISION_HEADER)?.to_str().ok()?;
+    revision.parse().ok()
+}
+
 /// Parses and validates a register that the platform published.
 pub fn parse(body: &[u8]) -> control::Response {
     let text = String::from_utf8_lossy(body);
--- a/crates/mulberrynotch_net/tests/platform.rs
+++ b/crates/mulberrynotch_net/tests/platform.rs
@@ -49,6 +49,7 @@
     let vms = r#"[{ "name": "b", "zone": "a", "peer": "127.0.0.1:9", "state": "leaving" }]"#;
     let address = serve(vec![
         response("200 OK", register),
+        response("304 Not Modified\r\nregister-revision: 3", ""),
         response("304 Not Modified", ""),
         response("200 OK", r#"{ "revision": 5, "surplus": 1 }"#),
         response("200 OK", "not JSON"),
@@ -61,7 +62,10 @@
     let client = platform::Client::new(address, Arc::new(|| Duration::ZERO));
     let first = client.register().await;
     assert!(matches!(first, control::Response::Register(it) if it.revision == 4));
-    assert_eq!(client.watch(4).await, control::Response::Unchanged);
+    for published in [Some(3), None] {
+        let unchanged = control::Response::Unchanged { published };
+        assert_eq!(client.watch(4).await, unchanged);
+    }
     let invalid = client.watch(4).await;
     assert!(matches!(
         invalid,
@@ -82,7 +86,7 @@
         members[0].state,
         mulberrynotch_wire::control::State::Leaving
     );
-    assert_eq!(client.calls(), 8);
+    assert_eq!(client.calls(), 9);
 }
 
 /// Guards against accepting a register from a sender without the shared secret, a truncated
--- a/crates/mulberrynotch_policy/src/control.rs
+++ b/crates/mulberrynotch_policy/src/control.rs
@@ -139,7 +139,10 @@
             reason: String,
         },
         /// The watch ended without a change.
-        Unchanged,
+        Unchanged {
+            /// Revision that the platform has; `None` if it does not say.
+            published: Option<u64>,
+        },
         /// Live and leaving VMs in the platform's list.
         Members(Vec<control::Member>),
         /// A read or watch of the register failed.
--- a/crates/mulberrynotch_policy/src/control/calls.rs
+++ b/crates/mulberrynotch_policy/src/control/calls.rs
@@ -297,9 +297,10 @@
                 };
                 self.refuse(now, version, reason);
             }
-            Response::Unchanged => {
+            Response::Unchanged { published } => {
                 self.calls.answered_at = Some(now);
                 self.end_call(now, true);
+                self.check_published(now, published);
             }
             Response::RegisterFailed => self.end_call(now, false),
             Response::Members(members) => {
@@ -315,6 +316,29 @@
         }
     }
 
+    /// Handles the revision that the platform has while it has no higher one. A lower one shows that
+    /// the platform lags behind, or returned from a copy: then watches never return what is published
+    /// with a revision up to the one in effect.
+    fn check_published(&mut self, now: Duration, published: Option<u64>) {
+        let Some(revision) = published else {
+            return;
+        };
+        if revision < self.calls.highest_invalid {
+            self.calls.highest_invalid = 0;
+        }
+        let seen = self.configuration.latest.revision;
+        if revision < seen {
+            let reason = format!(
+                "the platform is behind revision {seen}; if it stays so, publish a higher revision"
+            );
+            let version = mulberrynotch_wire::control::Version {
+                revision,
+                digest: 0,
+            };
+            self.refuse(now, version, reason);
+        }
+    }
+
     fn apply_register(&mut self, now: Duration, register: Arc<model::Register>) {
         let highest_revision = self.configuration.latest.revision;
         let revision = register.revision;
--- a/crates/mulberrynotch_policy/tests/control_machine.rs
+++ b/crates/mulberrynotch_policy/tests/control_machine.rs
@@ -168,6 +168,29 @@
     assert_eq!(machine.status(ms(3_000)).refused.len(), 1);
 }
 
+/// Guards against a valid register that no watch returns, because a higher invalid one was published
+/// before the platform returned from a copy, and against a return that nobody is told of.
+#[test]
+fn a_platform_that_returned_from_a_copy_is_reported_and_watched_from_the_held_revision() {
+    let (mut machine, _) = joined_machine();
+    let invalid = Response::Invalid {
+        revision: 9,
+        reason: "no zones".into(),
+    };
+    machine.handle_response(ms(3_050), invalid);
+    let published = Some(1);
+    machine.handle_response(ms(3_100), Response::Unchanged { published });
+    let watched = run_ticks(&mut machine, 3_100, 9_000);
+    let above = watched.iter().filter_map(|it| match it {
+        Action::WatchRegister { above } => Some(*above),
+        _ => None,
+    });
+    assert_eq!(above.max(), Some(2));
+    let reasons = machine.status(ms(9_000)).refused;
+    let is_reported = |it: &mulberrynotch_policy::control::Refusal| it.revision == 1;
+    assert!(reasons.iter().any(is_reported), "{reasons:?}");
+}
+
 /// Guards against a pause that shows only in the time of the next input and goes undetected.
 #[test]
 fn pause_is_detected_from_the_time_of_the_next_input() {
--- a/crates/mulberrynotch_standin/src/platform.rs
+++ b/crates/mulberrynotch_standin/src/platform.rs
@@ -227,11 +227,21 @@
             _ => {}
         }
         if time::timeout_at(deadline, changed.changed()).await.is_err() {
-            return web::status(StatusCode::NOT_MODIFIED);
+            return unchanged(shared.served_register().as_deref());
         }
     }
 }
 
+/// Returns a 304 response that shows which revision the platform has.
+fn unchanged(served: Option<&str>) -> web::Answer {
+    let mut answer = web::status(StatusCode::NOT_MODIFIED);
+    if let Some(text) = served {
+        let headers = answer.headers_mut();
+        headers.insert("register-revision", revision(text).into());
+    }
+    answer
+}
+
 /// Returns the revision of a register. Content without one counts as newest, so that watches return
 /// malformed registers too.
 fn revision(text: &str) -> u64 {
