--- a/crates/mulberrynotch_steer/tests/restored.rs
+++ b/crates/mulberrynotch_steer/tests/restored.rs
@@ -24,6 +24,9 @@
 /// balancers that do not read the store.
 const ALL_DOUBTS_MS: u64 = 66_000;
 
+/// Bandwidth of the slowest link, 10 Mbit/s, in bytes per second.
+const MIN_LINK_BYTES_PER_SECOND: usize = 1_250_000;
+
 fn key(id: u64) -> record::Key {
     record::Key::Target(record::Id(id))
 }
@@ -110,6 +113,43 @@
     assert_eq!((fleet.lists, fleet.pulls), (1, 0));
 }
 
+/// Guards against a cost of the return that grows with the zone: complete reads, fetches of
+/// everything, or more than a thin link bears. 78 balancers are a zone of the design scale.
+#[test]
+fn a_return_costs_a_zone_one_complete_read_whatever_its_size() {
+    for size in [10, 78, 100] {
+        let mut fleet = Fleet::new(size);
+        for id in 100..2_100 {
+            fleet.publish(target(id, id, entry("a")));
+        }
+        fleet.run(5_000);
+        fleet.copy();
+        for id in 3_000..3_020 {
+            let last = u8::try_from(id - 2_900).unwrap();
+            fleet.write(target(id, 0, at_address(last, id)));
+        }
+        fleet.run(1_000);
+        fleet.sent.clear();
+        (fleet.lists, fleet.complete_pulls) = (0, 0);
+        fleet.restore();
+        fleet.run(1_000);
+        let eras = fleet.machines.values().map(|it| it.catalog().as_of().era);
+        assert!(eras.into_iter().all(|era| era == 2), "{size} balancers");
+        assert_eq!(
+            (fleet.lists, fleet.complete_pulls),
+            (1, 0),
+            "{size} balancers"
+        );
+        let busiest = fleet.sent.values().max().copied().unwrap();
+        let total: usize = fleet.sent.values().sum();
+        println!("{size} balancers: {busiest} bytes from the busiest, {total} in all, in 1 s");
+        assert!(
+            busiest <= MIN_LINK_BYTES_PER_SECOND,
+            "{busiest} bytes from one balancer"
+        );
+    }
+}
+
 /// Guards against a storm of complete reads when the store answers no watch.
 #[test]
 fn a_store_that_refuses_every_watch_is_read_with_pauses() {
