--- a/crates/mulberrynotch_steer/src/catalog.rs
+++ b/crates/mulberrynotch_steer/src/catalog.rs
@@ -1,9 +1,11 @@
 //! Copy of the register at a balancer: configuration, targets, and zones out of service.
 
+mod dating;
+mod doubt;
 mod export;
 mod merge;
-mod restore;
 mod target;
+mod update;
 
 use std::{
     collections::{
@@ -262,78 +264,6 @@
         services.iter().find(|service| &*service.name == name)
     }
 
-    /// Merges records that contain every change after `since` and up to `as_of`.
-    pub fn apply_changes(
-        &mut self,
-        now: Duration,
-        since: revision::Revision,
-        as_of: revision::Revision,
-        records: Vec<record::Record>,
-    ) -> Vec<Change> {
-        let mut changes = Vec::new();
-        if since <= self.as_of && self.as_of != revision::Revision::START {
-            if as_of.era > self.as_of.era {
-                changes.push(self.enter_era(as_of));
-                // The sender does not know these changes, so the store has lost them.
-                let lost = self.present_keys().filter(|(_, write)| write.at > since);
-                let lost: Vec<_> = lost.map(|(key, _)| key).collect();
-                changes.extend(lost.into_iter().filter_map(|key| self.doubt(now, key)));
-            }
-            self.as_of = self.as_of.max(as_of);
-        }
-        let records = self.date_all(now, as_of, records, &mut changes);
-        changes.extend(self.merge(now, records));
-        changes
-    }
-
-    /// Merges the complete set of records present at `as_of`. Older ones that are missing from it
-    /// are removed, unless the store has returned from a copy since they were written.
-    pub fn replace(
-        &mut self,
-        now: Duration,
-        as_of: revision::Revision,
-        records: Vec<record::Record>,
-    ) -> Vec<Change> {
-        if as_of.era < self.as_of.era {
-            return self.merge_lost(now, records);
-        }
-        let before = self.as_of;
-        let is_restored = before != revision::Revision::START && as_of.era > before.era;
-        let listed: BTreeSet<record::Key> = records.iter().map(|it| it.key.clone()).collect();
-        let copied_until = self.copied_until(&records);
-        let mut changes = Vec::new();
-        if is_restored {
-            changes.push(self.enter_era(as_of));
-        }
-        let mut records = self.date_all(now, as_of, records, &mut changes);
-        if before == revision::Revision::START {
-            self.complete_since = as_of;
-        }
-        self.as_of = self.as_of.max(as_of);
-        let absent = self
-            .present_keys()
-            .filter(|(key, write)| write.at <= as_of && !listed.contains(key));
-        let absent: Vec<_> = absent.collect();
-        for (key, write) in absent {
-            let is_lost = match key {
-                record::Key::Target(_) => write.at.number > copied_until,
-                _ => true,
-            };
-            if is_restored && is_lost {
-                changes.extend(self.doubt(now, key));
-            } else if self.doubts.get(&key).is_none_or(|until| now >= *until) {
-                self.doubts.remove(&key);
-                records.push(removal(key, as_of));
-            }
-        }
-        changes.extend(self.merge(now, records));
-        // The store agrees that these are gone.
-        let is_open = |key: &record::Key| listed.contains(key) || self.is_present(key);
-        let closed: Vec<_> = self.unconfirmed().filter(|key| !is_open(key)).collect();
-        changes.extend(closed.iter().filter_map(|key| self.confirm(key)));
-        changes
-    }
-
     fn is_present(&self, key: &record::Key) -> bool {
         match key {
             record::Key::Configuration => true,
--- a/crates/mulberrynotch_steer/src/catalog/restore.rs
+++ b/crates/mulberrynotch_steer/src/catalog/dating.rs
@@ -1,9 +1,7 @@
-//! Return of the store from an older copy of itself.
+//! Dating of records that were read from a list.
 //!
-//! What the store lost was acknowledged, so it stays in effect: the writers write it again. Until
-//! they have, the copy lacks some known records or shows older ones, which are in doubt here. A
-//! doubt ends when the record is written again, or else after a time: then what the store shows
-//! takes effect.
+//! A list shows the number of the last write of each record, but not the era: the store may have
+//! returned from an older copy of itself, and the record may be from the copy. What is known decides.
 
 use std::time::Duration;
 
@@ -11,6 +9,7 @@
     Catalog,
     Change,
     Target,
+    doubt,
     millis, //
 };
 use crate::{
@@ -18,16 +17,6 @@
     revision, //
 };
 
-/// Time for targets to write their entries again, and for the entries of those that ended to expire:
-/// three heartbeats and two seconds.
-const TARGET_DOUBT: Duration = Duration::from_millis(6_000);
-
-/// Time for operators to take a zone out of service again, or to return it again.
-const ZONE_DOUBT: Duration = Duration::from_secs(60);
-
-/// Additional time in which the reader of a zone reads the store and sends the others the result.
-const RESOLUTION_TIME: Duration = Duration::from_secs(4);
-
 /// Relation of an undated record to what is known.
 enum Dating {
     /// This is its write.
@@ -39,32 +28,6 @@
 }
 
 impl Catalog {
-    /// Returns the keys of the records that the store's copy lacks or shows in an older state, and
-    /// that nobody has written again.
-    pub fn unconfirmed(&self) -> impl Iterator<Item = record::Key> {
-        self.doubts.keys().cloned()
-    }
-
-    /// Returns whether the time for a doubt is over, so that a complete read of the store resolves
-    /// it.
-    pub fn is_doubt_over(&self, now: Duration) -> bool {
-        self.doubts.values().any(|until| now >= *until)
-    }
-
-    /// Returns whether the reader of the zone should have resolved a doubt by now.
-    pub fn is_doubt_overdue(&self, now: Duration) -> bool {
-        now.checked_sub(RESOLUTION_TIME)
-            .is_some_and(|before| self.is_doubt_over(before))
-    }
-
-    /// Ends the doubt about a record that was written again or that the store still has.
-    pub(super) fn confirm(&mut self, key: &record::Key) -> Option<Change> {
-        self.doubts.remove(key)?;
-        let write = self.write_of(key)?;
-        let key = key.clone();
-        Some(Change::Confirmed { key, write })
-    }
-
     /// Dates undated records of a message or list as of `as_of`, and leaves out the ones that add
     /// nothing to what is known.
     pub(super) fn date_all(
@@ -110,24 +73,6 @@
         is_behind && is_present && self.write_of(&record.key).is_none()
     }
 
-    /// Adopts the doubt of a peer, as of `as_of`, about a record that this process knows as well, or
-    /// the end of that doubt.
-    fn merge_doubt(
-        &mut self,
-        now: Duration,
-        as_of: revision::Revision,
-        record: &record::Record,
-    ) -> Option<Change> {
-        if as_of.era != self.as_of.era {
-            None
-        } else if let Some(left) = record.unconfirmed_ms {
-            let left = Duration::from_millis(left.into());
-            self.doubt_for(now, record.key.clone(), left)
-        } else {
-            self.confirm(&record.key)
-        }
-    }
-
     /// Determines when an undated record was written. The copy contains only numbers that the store
     /// gave out before, so a number above the known one was written later.
     fn date(&self, record: &record::Record) -> Dating {
@@ -201,59 +146,6 @@
         }
     }
 
-    /// Keeps what is known instead of an older record. Returns the record if the time for the doubt
-    /// is over and it takes effect.
-    fn keep_or_resolve(
-        &mut self,
-        now: Duration,
-        as_of: revision::Revision,
-        record: record::Record,
-        changes: &mut Vec<Change>,
-    ) -> Option<record::Record> {
-        if as_of < self.as_of {
-            return None;
-        }
-        let until = self.doubts.get(&record.key).copied();
-        if until.is_none_or(|until| now < until) {
-            changes.extend(self.doubt(now, record.key));
-            return None;
-        }
-        self.doubts.remove(&record.key);
-        let is_final = match &record.key {
-            record::Key::Target(id) => {
-                let target = self.targets.get_mut(id).filter(|it| it.entry.draining);
-                target
-                    .map(|it| it.write = revision::Write::dated(as_of))
-                    .is_some()
-            }
-            record::Key::Configuration => true,
-            record::Key::ZoneOut(_) => false,
-        };
-        let write = revision::Write::dated(as_of);
-        (!is_final).then_some(record::Record { write, ..record })
-    }
-
-    /// Opens a doubt about a record, unless there is one.
-    pub(super) fn doubt(&mut self, now: Duration, key: record::Key) -> Option<Change> {
-        let time = time_for(&key);
-        self.doubt_for(now, key, time)
-    }
-
-    pub(super) fn doubt_for(
-        &mut self,
-        now: Duration,
-        key: record::Key,
-        time: Duration,
-    ) -> Option<Change> {
-        let is_versioned = key == record::Key::Configuration;
-        if is_versioned || self.doubts.contains_key(&key) {
-            return None;
-        }
-        let write = self.write_of(&key)?;
-        self.doubts.insert(key.clone(), now + time);
-        Some(Change::Kept { key, write })
-    }
-
     /// Merges records that a process of an earlier era has. The store has lost what differs from the
     /// records of its present era.
     pub(super) fn merge_lost(
@@ -264,7 +156,7 @@
         let differs = |it: &record::Record| it.write.dated && !self.has_content(it);
         let lost: Vec<_> = records.into_iter().filter(differs).collect();
         let lost = lost.into_iter().map(|it| record::Record {
-            unconfirmed_ms: it.unconfirmed_ms.or(Some(millis(time_for(&it.key)))),
+            unconfirmed_ms: it.unconfirmed_ms.or(Some(millis(doubt::time_for(&it.key)))),
             ..it
         });
         self.merge(now, lost.collect())
@@ -295,20 +187,6 @@
             _ => false,
         }
     }
-
-    /// Moves on to `as_of` in a later era of the store.
-    pub(super) fn enter_era(&mut self, as_of: revision::Revision) -> Change {
-        let before = std::mem::replace(&mut self.as_of, as_of);
-        Change::Restored { before, as_of }
-    }
-}
-
-/// Returns the time for the writer of a record to write it again.
-fn time_for(key: &record::Key) -> Duration {
-    match key {
-        record::Key::Target(_) => TARGET_DOUBT,
-        record::Key::ZoneOut(_) | record::Key::Configuration => ZONE_DOUBT,
-    }
 }
 
 impl Target {
