--- a/crates/mulberrynotch_steer/src/machine/store.rs
+++ b/crates/mulberrynotch_steer/src/machine/store.rs
@@ -41,23 +41,11 @@
             (_, Some(reader::Answer::Listed { as_of, records })) => {
                 self.listed(now, as_of, records);
             }
-            (
-                reader::Call::Watch { after, .. },
-                Some(reader::Answer::Changed { as_of, records }),
-            ) if as_of.era == after.era => self.watched(now, after, as_of, records),
-            (
-                reader::Call::Watch { after, .. },
-                Some(reader::Answer::Changed {
-                    as_of: revision::Revision { era, .. },
-                    ..
-                }),
-            )
-            | (reader::Call::Watch { after, .. }, Some(reader::Answer::HistoryLost { era })) => {
-                self.watch_interrupted(now, after, era);
-            }
             (_, Some(reader::Answer::TooMany)) => self.list_too_long(now),
-            (_, Some(_)) => self.call_failed(now),
-            (_, None) => self.call_failed(now),
+            (reader::Call::Watch { after, .. }, Some(answer)) => {
+                self.watch_ended(now, after, answer);
+            }
+            _ => self.call_failed(now),
         }
     }
 
@@ -114,6 +102,20 @@
         }
     }
 
+    /// Handles the answer to a watch from `after`. Changes of another era do not follow on it.
+    fn watch_ended(&mut self, now: Duration, after: revision::Revision, answer: reader::Answer) {
+        match answer {
+            reader::Answer::Changed { as_of, records } if as_of.era == after.era => {
+                self.watched(now, after, as_of, records);
+            }
+            reader::Answer::Changed { as_of, .. } => {
+                self.watch_interrupted(now, after, as_of.era);
+            }
+            reader::Answer::HistoryLost { era } => self.watch_interrupted(now, after, era),
+            reader::Answer::Listed { .. } | reader::Answer::TooMany => self.call_failed(now),
+        }
+    }
+
     /// Handles a watch from `after` that the store, in `era`, cannot continue.
     fn watch_interrupted(&mut self, now: Duration, after: revision::Revision, era: u64) {
         if after.era < era && era == self.catalog.as_of().era {
