Tell a process that read the copy first what the store has lost

A process that starts between the return of the store and the writes that repeat what it lost, and that reads the store before it hears of a peer, asks its peers for removed targets only: it sent new flows to a draining target and into a zone out of service until these were written again.

The answer now includes the unconfirmed records.

--- a/crates/mulberrynotch_steer/src/machine/fetch.rs
+++ b/crates/mulberrynotch_steer/src/machine/fetch.rs
@@ -176,6 +176,9 @@
             records.extend(self.catalog.records(now, [record::Key::Configuration]));
         }
         if pull.removed && !complete {
+            // A process that has just read the store does not know what the store has lost.
+            let unconfirmed: Vec<_> = self.catalog.unconfirmed().collect();
+            records.extend(self.catalog.records(now, unconfirmed));
             records.extend(self.catalog.removed_until(now, since));
         }
         message::Pulled {
--- a/crates/mulberrynotch_steer/tests/restored.rs
+++ b/crates/mulberrynotch_steer/tests/restored.rs
@@ -17,6 +17,7 @@
 use mulberrynotch_steer::{
     catalog,
     machine,
+    reader,
     record, //
 };
 
@@ -381,6 +382,26 @@
     assert_eq!(count_out(&fleet, "c"), 8);
 }
 
+/// Guards against the same when the process reads the store before it hears of a peer.
+#[test]
+fn a_process_that_read_the_copy_first_learns_what_was_lost_from_its_peers() {
+    let mut fleet = fleet();
+    fleet.copy();
+    fleet.write(configuration(3, 0, &[route()]));
+    fleet.write(target(7, 0, draining()));
+    fleet.write(zone_out("c", 0));
+    fleet.run(500);
+    let mut fleet = restarted(fleet);
+    fleet.run(500);
+    fleet.restart(5);
+    let (stale, short) = (true, true);
+    fleet.call(address(5, 7_000), reader::Call::List { stale, short });
+    fleet.run(3_000);
+    assert_eq!(fleet.versions(), vec![3; 8]);
+    assert_eq!(count(&fleet, 7, catalog::State::Draining), 8);
+    assert_eq!(count_out(&fleet, "c"), 8);
+}
+
 /// Guards against processes that keep different configurations under one version.
 #[test]
 fn a_version_that_is_written_again_with_other_content_takes_effect() {
