Format the stand-ins of the review, keep runs apart by their addresses

Two runs that started together could draw the same loopback addresses; the first one now keeps them. Pages of the store end at 500 items or 1 MB, as the users' page says.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -26,6 +26,9 @@
 const DRAIN_MS: u64 = 3_000;
 const RECOVERY_MS: u64 = 12_000;
 
+/// Largest value of an item in the store, `value_bytes` of the settings.
+const VALUE_BYTES: usize = 1_048_576;
+
 /// Time from the acknowledgement of an endpoint's drain to its exit; it serves for `drain_ms` and
 /// then for some seconds more.
 const EXIT_MS: u64 = 8_000;
@@ -39,7 +42,10 @@
 
 impl Process {
     fn start(&mut self, log: &Log) {
-        let file = std::fs::OpenOptions::new().create(true).append(true).open(&self.output);
+        let file = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.output);
         let file = file.expect("the log of a process cannot be opened");
         let child = Command::new(PROGRAM)
             .arg("steer")
@@ -70,7 +76,9 @@
 
     /// Restarts a process that ended by itself, as the platform does.
     fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|it| matches!(it.try_wait(), Ok(Some(_))))
+        self.child
+            .as_mut()
+            .is_some_and(|it| matches!(it.try_wait(), Ok(Some(_))))
     }
 }
 
@@ -92,19 +100,25 @@
     endpoints: Arc<Mutex<Vec<Arc<Endpoint>>>>,
     clients: Vec<Arc<Client>>,
     directory: std::path::PathBuf,
+    /// Keeps the addresses from other runs.
+    _guard: UdpSocket,
 }
 
 fn ip(block: u8, third: u8, last: u8) -> Ipv4Addr {
     Ipv4Addr::new(127, block, third, last)
 }
 
-fn free_block() -> u8 {
+/// Finds a block of free loopback addresses. The returned socket keeps it from other runs.
+fn free_block() -> (u8, UdpSocket) {
     let mut random = Random(u64::from(std::process::id()) << 20 ^ 77);
     for _ in 0..60 {
         let block = 20 + random.below(200) as u8;
-        let free = (1..=3).all(|third| UdpSocket::bind((ip(block, third, 1), net::PACKET_PORT)).is_ok());
-        if free {
-            return block;
+        let Ok(guard) = UdpSocket::bind((ip(block, 1, 1), net::PACKET_PORT)) else {
+            continue;
+        };
+        let free = |third| UdpSocket::bind((ip(block, third, 1), net::PACKET_PORT)).is_ok();
+        if free(2) && free(4) {
+            return (block, guard);
         }
     }
     eprintln!("no free loopback addresses");
@@ -112,12 +126,11 @@
 }
 
 impl Site {
-    /// Starts two balancers a zone, `per_zone` endpoints a zone, and a store with pages of
-    /// `page_items` items.
-    fn start(per_zone: u8, page_items: usize) -> Self {
-        let block = free_block();
+    /// Starts two balancers and `per_zone` endpoints a zone, and a store.
+    fn start(per_zone: u8) -> Self {
+        let (block, guard) = free_block();
         let log = Log::new();
-        let store = Store::start(SocketAddrV4::new(ip(block, 1, 1), 8_169), page_items, log.clone());
+        let store = Store::start(SocketAddrV4::new(ip(block, 1, 1), 8_169), log.clone());
         let endpoints: Arc<Mutex<Vec<Arc<Endpoint>>>> = Arc::default();
         let directory = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&directory).expect("no temporary folder");
@@ -129,7 +142,17 @@
             })
             .collect();
         let router = Router::start(balancers.clone(), &log);
-        let mut site = Self { block, log, store, processes: Vec::new(), router, endpoints, clients: Vec::new(), directory };
+        let mut site = Self {
+            block,
+            log,
+            store,
+            processes: Vec::new(),
+            router,
+            endpoints,
+            clients: Vec::new(),
+            directory,
+            _guard: guard,
+        };
         site.publish_configuration(7);
         for index in 0..per_zone {
             for zone in 0..ZONES.len() {
@@ -185,15 +208,29 @@
             eprintln!("{TEMPLATE}: {error}");
             exit(2);
         });
-        let seeds: Vec<_> = (1..=3).map(|last| format!("\"{}:{}\"", ip(self.block, 2, last), net::PEER_PORT)).collect();
+        let seeds: Vec<_> = (1..=3)
+            .map(|last| format!("\"{}:{}\"", ip(self.block, 2, last), net::PEER_PORT))
+            .collect();
         let mut text = template;
         for (place, value) in [
             ("{{node_name|json}}", format!("\"{}\"", balancer.name)),
             ("{{zone|json}}", format!("\"{}\"", ZONES[balancer.zone])),
-            ("{{listen.datagram_addr}}", format!("{}:{}", balancer.ip, net::PACKET_PORT)),
-            ("{{listen.ready_addr}}", format!("{}:{}", balancer.ip, net::READY_PORT)),
-            ("{{listen.control}}", format!("{}:{}", balancer.ip, net::PEER_PORT)),
-            ("{{ip}}:{{port_range.0}}", format!("{}:{}", balancer.ip, net::ADMIN_PORT)),
+            (
+                "{{listen.datagram_addr}}",
+                format!("{}:{}", balancer.ip, net::PACKET_PORT),
+            ),
+            (
+                "{{listen.ready_addr}}",
+                format!("{}:{}", balancer.ip, net::READY_PORT),
+            ),
+            (
+                "{{listen.control}}",
+                format!("{}:{}", balancer.ip, net::PEER_PORT),
+            ),
+            (
+                "{{ip}}:{{port_range.0}}",
+                format!("{}:{}", balancer.ip, net::ADMIN_PORT),
+            ),
             ("{{platform.address}}", self.store.address.to_string()),
             ("{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", seeds.join(",")),
             ("{{limits.link_mbps|json}}", "1000.0".to_owned()),
@@ -203,7 +240,11 @@
         let settings = self.directory.join(format!("{}.jsonc", balancer.name));
         std::fs::write(&settings, text).expect("the settings cannot be written");
         let mut process = Process {
-            output: self.directory.join(format!("{}.log", balancer.name)).to_string_lossy().into_owned(),
+            output: self
+                .directory
+                .join(format!("{}.log", balancer.name))
+                .to_string_lossy()
+                .into_owned(),
             settings: settings.to_string_lossy().into_owned(),
             balancer,
             child: None,
@@ -237,7 +278,10 @@
         while self.log.now() < at_ms {
             for process in &mut self.processes {
                 if process.has_ended() {
-                    self.log.add(format!("platform: {} ended by itself, started again", process.balancer.name));
+                    self.log.add(format!(
+                        "platform: {} ended by itself, started again",
+                        process.balancer.name
+                    ));
                     process.start(&self.log);
                 }
             }
@@ -246,14 +290,19 @@
     }
 
     fn requests(&self) -> Vec<Request> {
-        let all = self.clients.iter().flat_map(|it| it.requests.lock().unwrap().clone());
+        let all = self
+            .clients
+            .iter()
+            .flat_map(|it| it.requests.lock().unwrap().clone());
         all.collect()
     }
 
     /// Records and counts the orders that an endpoint ran and whose clients never got the answer.
     fn lost_runs(&self) -> usize {
         let requests = self.requests();
-        let unserved = requests.iter().filter(|it| it.kind == "order" && it.outcome != Outcome::Served);
+        let unserved = requests
+            .iter()
+            .filter(|it| it.kind == "order" && it.outcome != Outcome::Served);
         let unserved: HashMap<_, _> = unserved.map(|it| (it.id.as_str(), it)).collect();
         let mut count = 0;
         for endpoint in self.endpoints.lock().unwrap().iter() {
@@ -281,7 +330,13 @@
         }
         for request in self.requests() {
             let ran = runs.get(&request.id).map_or(", not run", String::as_str);
-            self.log.add_at(request.sent, format!("{} {}: {:?} at {}{ran}", request.kind, request.id, request.outcome, request.ended));
+            self.log.add_at(
+                request.sent,
+                format!(
+                    "{} {}: {:?} at {}{ran}",
+                    request.kind, request.id, request.outcome, request.ended
+                ),
+            );
         }
     }
 
@@ -296,9 +351,13 @@
             let outcome = format!("{} {:?}", request.kind, request.outcome);
             *counts.entry(outcome).or_default() += 1;
         }
-        let mut counts: Vec<_> = counts.into_iter().map(|(outcome, count)| format!("{outcome}: {count}")).collect();
+        let mut counts: Vec<_> = counts
+            .into_iter()
+            .map(|(outcome, count)| format!("{outcome}: {count}"))
+            .collect();
         counts.sort();
-        self.log.add(format!("clients: answers: {}", counts.join(", ")));
+        self.log
+            .add(format!("clients: answers: {}", counts.join(", ")));
         for endpoint in self.endpoints.lock().unwrap().iter() {
             let runs = endpoint.runs.lock().unwrap();
             let distinct: std::collections::HashSet<_> = runs.iter().map(|it| &it.1).collect();
@@ -321,27 +380,37 @@
 /// FLOW: an entry of another writer names a service that is not configured, at the address of a live
 /// endpoint.
 fn foreign(record: &str, trouble: bool) -> i32 {
-    let mut site = Site::start(2, 50);
+    let mut site = Site::start(2);
     site.start_traffic();
     let start = site.log.now();
     site.wait_until(start + 12_000);
     let written = site.log.now();
     if trouble {
         let endpoint = site.endpoints.lock().unwrap()[0].clone();
-        let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis();
+        let born = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .unwrap()
+            .as_millis();
         let entry = format!(
             "{{\"service\":\"stocktaking\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"capacity\":2,\"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":1,\"born\":{born}}}",
             endpoint.address, endpoint.zone
         );
-        site.store.put("servers/i-7f00f0f0", Some(entry.into_bytes()));
+        site.store
+            .put("servers/i-7f00f0f0", Some(entry.into_bytes()));
     }
     site.wait_until(start + 22_000);
     // Nothing else happens in this run: every machine and endpoint is in touch all the while.
     let broken = site.requests().into_iter().filter(|it| {
-        it.outcome == Outcome::ResetBySystem && it.holder.is_some() && it.ended - it.opened < 60_000 && it.ended >= written
+        it.outcome == Outcome::ResetBySystem
+            && it.holder.is_some()
+            && it.ended - it.opened < 60_000
+            && it.ended >= written
     });
     let broken: Vec<_> = broken.collect();
-    let orders = broken.iter().filter(|it| it.kind == "order" && !it.id.starts_with("none")).count();
+    let orders = broken
+        .iter()
+        .filter(|it| it.kind == "order" && !it.id.starts_with("none"))
+        .count();
     let lost = site.lost_runs();
     let verdict = format!(
         "FLOW: {} open flows of live endpoints were reset by the system, {orders} of them with an order that was sent and never answered; {lost} orders ran and their clients never got the answer",
@@ -353,31 +422,41 @@
 
 /// DRAIN: a balancer is killed and reads the store in pages that are not equally old.
 fn pages(record: &str, trouble: bool) -> i32 {
-    let mut site = Site::start(4, 10);
+    let mut site = Site::start(4);
+    // Another writer's entry of the largest size ends the first page; it is there from the start.
+    site.store
+        .put("servers/i-7f001000", Some(vec![0xff; VALUE_BYTES]));
     site.start_traffic();
     let start = site.log.now();
     site.wait_until(start + 8_000);
     let draining = {
         let mut endpoints = site.endpoints.lock().unwrap().clone();
-        // The last key of zone-a is on the second page.
+        // The last key is on the second page.
         endpoints.sort_by_key(|it| it.id);
         endpoints.last().unwrap().clone()
     };
     let acknowledged = drain(&site, &draining);
-    let victim = site.processes.iter().position(|it| ZONES[it.balancer.zone] == draining.zone).unwrap();
+    let victim = site
+        .processes
+        .iter()
+        .position(|it| ZONES[it.balancer.zone] == draining.zone)
+        .unwrap();
     let mut started = 0;
     if trouble {
         site.wait_until(acknowledged + 500);
         let log = site.log.clone();
         site.processes[victim].kill(&log);
         site.wait_until(acknowledged + 1_000);
-        site.store.set_stale_lag(vec![Duration::ZERO, Duration::from_secs(3)]);
+        site.store
+            .set_stale_lag(vec![Duration::ZERO, Duration::from_secs(3)]);
         site.processes[victim].start(&log);
         started = log.now();
     }
     site.wait_until(acknowledged + 20_000);
     let ip = site.processes[victim].balancer.ip;
-    let late = late_openings(&site, &draining, acknowledged, |at, from| from != ip || at > started + STABILITY_MS);
+    let late = late_openings(&site, &draining, acknowledged, |at, from| {
+        from != ip || at > started + STABILITY_MS
+    });
     let verdict = format!("DRAIN: {late} opening packets reached the draining endpoint later than {DRAIN_MS} ms through machines in touch");
     site.finish(record, &verdict);
     i32::from(late > 0)
@@ -385,19 +464,21 @@
 
 /// RECOVER: all processes are killed, and a key of another writer ends a page of the store.
 fn key(record: &str, trouble: bool) -> i32 {
-    let mut site = Site::start(2, 5);
+    let mut site = Site::start(2);
     site.start_traffic();
     let start = site.log.now();
     site.wait_until(start + 8_000);
     let before = served_share(&site.requests(), start + 2_000, start + 8_000);
     let log = site.log.clone();
     if trouble {
-        // The keys sort as op/config, servers/i-7f000101, servers/i-7f000101 (copy), ...: the entry
-        // ends the first page of three items.
+        // The entry has the largest size, so it ends the first page of the store.
         let endpoints = site.endpoints.lock().unwrap().clone();
         let mut keys: Vec<_> = endpoints.iter().map(|it| it.key()).collect();
         keys.sort();
-        site.store.put(&format!("{} (copy)", keys[2]), Some(vec![0xff, 0xfe, 0x00, 0x80]));
+        site.store.put(
+            &format!("{} (copy)", keys[2]),
+            Some(vec![0xff; VALUE_BYTES]),
+        );
         site.wait_until(start + 9_000);
     }
     for process in &mut site.processes {
@@ -410,7 +491,11 @@
     }
     let back = log.now();
     site.wait_until(back + RECOVERY_MS + 13_000);
-    let after = served_share(&site.requests(), back + RECOVERY_MS, back + RECOVERY_MS + 11_000);
+    let after = served_share(
+        &site.requests(),
+        back + RECOVERY_MS,
+        back + RECOVERY_MS + 11_000,
+    );
     let verdict = format!("RECOVER: {before} of 1000 requests were served before the kill, {after} of 1000 later than {RECOVERY_MS} ms after it");
     site.finish(record, &verdict);
     i32::from(before >= 250 && after < 250)
@@ -418,13 +503,16 @@
 
 /// DRAIN: another writer writes large entries at once, and then an endpoint drains.
 fn large(record: &str, trouble: bool) -> i32 {
-    let mut site = Site::start(2, 500);
+    let mut site = Site::start(2);
     site.start_traffic();
     let start = site.log.now();
     site.wait_until(start + 8_000);
     if trouble {
         for number in 0..8 {
-            site.store.put(&format!("servers/i-7f00aa0{number}"), Some(vec![0xff; 1_048_576]));
+            site.store.put(
+                &format!("servers/i-7f00aa0{number}"),
+                Some(vec![0xff; VALUE_BYTES]),
+            );
         }
     }
     site.wait_until(start + 9_000);
@@ -432,11 +520,17 @@
     let acknowledged = drain(&site, &draining);
     site.wait_until(acknowledged + EXIT_MS);
     draining.stop();
-    site.log.add(format!("endpoint i-{:08x} exits", draining.id));
+    site.log
+        .add(format!("endpoint i-{:08x} exits", draining.id));
     site.wait_until(acknowledged + 24_000);
     let late = late_openings(&site, &draining, acknowledged, |_, _| true);
     let lost = site.lost_runs();
-    let last = draining.openings.lock().unwrap().last().map_or(0, |it| it.0.saturating_sub(acknowledged));
+    let last = draining
+        .openings
+        .lock()
+        .unwrap()
+        .last()
+        .map_or(0, |it| it.0.saturating_sub(acknowledged));
     let verdict = format!("DRAIN: {late} opening packets reached the draining endpoint later than {DRAIN_MS} ms through machines in touch, the last one {last} ms after the acknowledgement; {lost} orders ran and their clients never got the answer");
     site.finish(record, &verdict);
     i32::from(late > 0)
@@ -450,9 +544,16 @@
 
 /// Records and counts the opening packets that an endpoint took too late after its drain was
 /// acknowledged, through balancers that `in_touch` holds to be in touch at that moment.
-fn late_openings(site: &Site, endpoint: &Endpoint, acknowledged: u64, in_touch: impl Fn(u64, Ipv4Addr) -> bool) -> usize {
+fn late_openings(
+    site: &Site,
+    endpoint: &Endpoint,
+    acknowledged: u64,
+    in_touch: impl Fn(u64, Ipv4Addr) -> bool,
+) -> usize {
     let openings = endpoint.openings.lock().unwrap().clone();
-    let late = openings.into_iter().filter(|(at, _, from)| *at > acknowledged + DRAIN_MS && in_touch(*at, *from));
+    let late = openings
+        .into_iter()
+        .filter(|(at, _, from)| *at > acknowledged + DRAIN_MS && in_touch(*at, *from));
     late.inspect(|(at, client, from)| {
         site.log.add(format!(
             "check: at {at} ms endpoint i-{:08x} took the opening packet of {client} from {from}, {} ms after its drain was acknowledged",
@@ -465,8 +566,14 @@
 
 /// Returns how many of 1,000 requests sent in a span were served.
 fn served_share(requests: &[Request], from: u64, to: u64) -> u64 {
-    let sent: Vec<_> = requests.iter().filter(|it| it.sent >= from && it.sent < to).collect();
-    let served = sent.iter().filter(|it| it.outcome == Outcome::Served).count() as u64;
+    let sent: Vec<_> = requests
+        .iter()
+        .filter(|it| it.sent >= from && it.sent < to)
+        .collect();
+    let served = sent
+        .iter()
+        .filter(|it| it.outcome == Outcome::Served)
+        .count() as u64;
     served * 1_000 / (sent.len() as u64).max(1)
 }
 
--- a/review/standin/net.rs
+++ b/review/standin/net.rs
@@ -23,7 +23,8 @@
 /// Time for which the store keeps the history of changes, `history_s` of the settings.
 const HISTORY: Duration = Duration::from_secs(20);
 
-/// Size from which a page of the store ends.
+/// Items and size at which a page of the store ends.
+const PAGE_ITEMS: usize = 500;
 const PAGE_BYTES: usize = 1_000_000;
 
 /// Record of the run: one line an event, with the milliseconds since the start.
@@ -187,7 +188,6 @@
     /// Lag of the answers to the next stale reads, in turn; the last one is repeated.
     stale_lag: Vec<Duration>,
     stale_reads: usize,
-    page_items: usize,
 }
 
 pub struct Store {
@@ -198,18 +198,20 @@
 }
 
 impl Store {
-    pub fn start(address: SocketAddrV4, page_items: usize, log: Arc<Log>) -> Arc<Self> {
+    pub fn start(address: SocketAddrV4, log: Arc<Log>) -> Arc<Self> {
         let listener = TcpListener::bind(address).expect("the store's address is in use");
         let store = Arc::new(Self {
             address,
             state: Mutex::new(StoreState {
-                content: Content { revision: 10, ..Content::default() },
+                content: Content {
+                    revision: 10,
+                    ..Content::default()
+                },
                 history: Vec::new(),
                 discarded: 10,
                 past: Vec::new(),
                 stale_lag: vec![Duration::ZERO],
                 stale_reads: 0,
-                page_items,
             }),
             changed: Condvar::new(),
             log,
@@ -243,7 +245,12 @@
         state.content.revision += 1;
         let revision = state.content.revision;
         match &value {
-            Some(bytes) => drop(state.content.items.insert(key.to_owned(), (revision, bytes.clone()))),
+            Some(bytes) => drop(
+                state
+                    .content
+                    .items
+                    .insert(key.to_owned(), (revision, bytes.clone())),
+            ),
             None => drop(state.content.items.remove(key)),
         }
         let shown = match &value {
@@ -251,10 +258,14 @@
             Some(bytes) => format!("{} bytes", bytes.len()),
             None => "removed".to_owned(),
         };
-        state.history.push((revision, Instant::now(), key.to_owned(), value));
+        state
+            .history
+            .push((revision, Instant::now(), key.to_owned(), value));
         drop(state);
         self.changed.notify_all();
-        self.log.add(format!("store: acknowledged {key} at revision {revision}: {shown}"));
+        self.log.add(format!(
+            "store: acknowledged {key} at revision {revision}: {shown}"
+        ));
         self.log.now()
     }
 
@@ -281,11 +292,23 @@
             "/v1/kv-range" => {
                 let stale = parameter("serializable").as_deref() == Some("1");
                 let (prefix, after) = (parameter("prefix"), parameter("after"));
-                (200, self.range(&prefix.unwrap_or_default(), &after.unwrap_or_default(), stale))
+                (
+                    200,
+                    self.range(
+                        &prefix.unwrap_or_default(),
+                        &after.unwrap_or_default(),
+                        stale,
+                    ),
+                )
             }
             "/v1/kv-watch" => {
-                let number = |name: &str| parameter(name).and_then(|it| it.parse().ok()).unwrap_or(0);
-                self.watch(&parameter("prefix").unwrap_or_default(), number("after"), number("wait_ms"))
+                let number =
+                    |name: &str| parameter(name).and_then(|it| it.parse().ok()).unwrap_or(0);
+                self.watch(
+                    &parameter("prefix").unwrap_or_default(),
+                    number("after"),
+                    number("wait_ms"),
+                )
             }
             _ => (404, "{}".to_owned()),
         };
@@ -318,8 +341,10 @@
             .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
         let mut bytes = 0;
         let mut items = Vec::new();
-        while items.len() < state.page_items && bytes < PAGE_BYTES {
-            let Some((key, (revision, value))) = matching.next() else { break };
+        while items.len() < PAGE_ITEMS && bytes < PAGE_BYTES {
+            let Some((key, (revision, value))) = matching.next() else {
+                break;
+            };
             bytes += value.len();
             items.push(item(key, *revision, Some(value)));
         }
@@ -327,17 +352,26 @@
         let as_of = content.revision;
         self.log.add(format!(
             "store: read of a page after \"{after}\"{}: {} items, as_of {as_of}, has_more {more}",
-            if stale { format!(", serializable, {} ms old", lag.as_millis()) } else { String::new() },
+            if stale {
+                format!(", serializable, {} ms old", lag.as_millis())
+            } else {
+                String::new()
+            },
             items.len()
         ));
-        format!("{{\"items\":[{}],\"has_more\":{more},\"as_of\":{as_of}}}", items.join(","))
+        format!(
+            "{{\"items\":[{}],\"has_more\":{more},\"as_of\":{as_of}}}",
+            items.join(",")
+        )
     }
 
     fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> (u16, String) {
         let deadline = Instant::now() + millis(wait_ms.min(30_000));
         let mut state = self.state.lock().unwrap();
         loop {
-            let old = state.history.partition_point(|(_, written, ..)| written.elapsed() >= HISTORY);
+            let old = state
+                .history
+                .partition_point(|(_, written, ..)| written.elapsed() >= HISTORY);
             if let Some((revision, ..)) = state.history.drain(..old).last() {
                 state.discarded = revision;
             }
@@ -353,7 +387,10 @@
             let left = deadline.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let as_of = state.content.revision;
-                return (200, format!("{{\"events\":[{}],\"as_of\":{as_of}}}", events.join(",")));
+                return (
+                    200,
+                    format!("{{\"events\":[{}],\"as_of\":{as_of}}}", events.join(",")),
+                );
             }
             state = self.changed.wait_timeout(state, left).unwrap().0;
         }
@@ -376,7 +413,9 @@
     let mut out = Vec::new();
     let mut i = 0;
     while i < bytes.len() {
-        let code = text.get(i + 1..i + 3).and_then(|it| u8::from_str_radix(it, 16).ok());
+        let code = text
+            .get(i + 1..i + 3)
+            .and_then(|it| u8::from_str_radix(it, 16).ok());
         match (bytes[i], code) {
             (b'%', Some(code)) => {
                 out.push(code);
@@ -402,7 +441,12 @@
 
 impl Balancer {
     pub fn new(name: String, ip: Ipv4Addr, zone: usize) -> Arc<Self> {
-        Arc::new(Self { name, ip, zone, misses: AtomicU64::new(2) })
+        Arc::new(Self {
+            name,
+            ip,
+            zone,
+            misses: AtomicU64::new(2),
+        })
     }
     pub fn is_in_rotation(&self) -> bool {
         self.misses.load(Ordering::Relaxed) < 2
@@ -425,7 +469,10 @@
                     balancer.misses.fetch_add(1, Ordering::Relaxed);
                 }
                 if before != balancer.is_in_rotation() {
-                    log.add(format!("router: {} in rotation: {}", balancer.name, !before));
+                    log.add(format!(
+                        "router: {} in rotation: {}",
+                        balancer.name, !before
+                    ));
                 }
                 thread::sleep(millis(500));
             });
@@ -434,11 +481,23 @@
     }
 
     /// Selects the balancer of a flow, as under `hash = "mod"`.
-    pub fn select(&self, zone: usize, client: SocketAddrV4, route: SocketAddrV4) -> Option<Ipv4Addr> {
+    pub fn select(
+        &self,
+        zone: usize,
+        client: SocketAddrV4,
+        route: SocketAddrV4,
+    ) -> Option<Ipv4Addr> {
         let near: Vec<_> = self.balancers.iter().filter(|it| it.zone == zone).collect();
-        let ready: Vec<_> = near.iter().copied().filter(|it| it.is_in_rotation()).collect();
+        let ready: Vec<_> = near
+            .iter()
+            .copied()
+            .filter(|it| it.is_in_rotation())
+            .collect();
         let candidates = if ready.is_empty() {
-            self.balancers.iter().filter(|it| it.is_in_rotation()).collect()
+            self.balancers
+                .iter()
+                .filter(|it| it.is_in_rotation())
+                .collect()
         } else if ready.len() * 2 < near.len() {
             near
         } else {
@@ -488,11 +547,19 @@
 }
 
 impl Endpoint {
-    pub fn start(id: u64, service: &str, zone: &str, address: SocketAddrV4, log: Arc<Log>) -> Arc<Self> {
+    pub fn start(
+        id: u64,
+        service: &str,
+        zone: &str,
+        address: SocketAddrV4,
+        log: Arc<Log>,
+    ) -> Arc<Self> {
         let socket = UdpSocket::bind(address).expect("an endpoint's address is in use");
         socket.set_read_timeout(Some(millis(20))).unwrap();
         let listener = TcpListener::bind(address).expect("an endpoint's address is in use");
-        let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+        let born = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .unwrap();
         let endpoint = Arc::new(Self {
             id,
             service: service.to_owned(),
@@ -535,7 +602,11 @@
     }
 
     pub fn entry(&self) -> Vec<u8> {
-        let state = if self.draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
+        let state = if self.draining.load(Ordering::Relaxed) {
+            "draining"
+        } else {
+            "ready"
+        };
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"capacity\":2,\"state\":\"{state}\",\"warmup_left_ms\":0,\"sequence\":4,\"born\":{}}}",
             self.service, self.address, self.zone, self.born
@@ -606,24 +677,46 @@
             return;
         }
         if packet.flags & SYN != 0 {
-            self.openings.lock().unwrap().push((self.log.now(), packet.src, balancer));
+            self.openings
+                .lock()
+                .unwrap()
+                .push((self.log.now(), packet.src, balancer));
             let flow = flows.entry(key).or_insert_with(|| EndpointFlow {
                 next: random.next() as u32,
                 open: false,
                 received: packet.seq.wrapping_add(1),
                 answer: None,
             });
-            let reply = Packet { flags: SYN | ACK, seq: flow.next, ack: flow.received, ..reply(&packet) };
+            let reply = Packet {
+                flags: SYN | ACK,
+                seq: flow.next,
+                ack: flow.received,
+                ..reply(&packet)
+            };
             send(socket, &reply);
             return;
         }
         let Some(flow) = flows.get_mut(&key) else {
-            send(socket, &Packet { flags: RST, seq: packet.ack, ..reply(&packet) });
+            send(
+                socket,
+                &Packet {
+                    flags: RST,
+                    seq: packet.ack,
+                    ..reply(&packet)
+                },
+            );
             return;
         };
         if !flow.open {
             if packet.ack != flow.next.wrapping_add(1) {
-                send(socket, &Packet { flags: RST, seq: packet.ack, ..reply(&packet) });
+                send(
+                    socket,
+                    &Packet {
+                        flags: RST,
+                        seq: packet.ack,
+                        ..reply(&packet)
+                    },
+                );
                 return;
             }
             flow.open = true;
@@ -637,7 +730,15 @@
         }
         if packet.flags & FIN != 0 {
             flows.remove(&key);
-            send(socket, &Packet { flags: FIN | ACK, seq: packet.ack, ack: packet.seq.wrapping_add(1), ..reply(&packet) });
+            send(
+                socket,
+                &Packet {
+                    flags: FIN | ACK,
+                    seq: packet.ack,
+                    ack: packet.seq.wrapping_add(1),
+                    ..reply(&packet)
+                },
+            );
             return;
         }
         if packet.data.is_empty() || packet.seq != flow.received {
@@ -653,7 +754,11 @@
             self.id,
             body.len()
         );
-        let finish = if self.draining.load(Ordering::Relaxed) { FIN } else { 0 };
+        let finish = if self.draining.load(Ordering::Relaxed) {
+            FIN
+        } else {
+            0
+        };
         let answer = Packet {
             flags: ACK | finish,
             seq: flow.next,
@@ -661,7 +766,10 @@
             data: answer.into_bytes(),
             ..reply(&packet)
         };
-        due.push((Instant::now() + millis(self.work_ms.load(Ordering::Relaxed)), answer));
+        due.push((
+            Instant::now() + millis(self.work_ms.load(Ordering::Relaxed)),
+            answer,
+        ));
     }
 }
 
@@ -675,7 +783,16 @@
 }
 
 fn reply(packet: &Packet) -> Packet {
-    Packet { src: packet.dst, dst: packet.src, flags: ACK, echo: packet.echo, seq: 0, ack: 0, data: Vec::new(), sum: 0 }
+    Packet {
+        src: packet.dst,
+        dst: packet.src,
+        flags: ACK,
+        echo: packet.echo,
+        seq: 0,
+        ack: 0,
+        data: Vec::new(),
+        sum: 0,
+    }
 }
 
 fn send(socket: &UdpSocket, packet: &Packet) {
@@ -762,7 +879,9 @@
             let mut buffer = [0; 2_048];
             while let Ok((n, _)) = receiving.socket.recv_from(&mut buffer) {
                 if let Some(packet) = Packet::decode(&buffer[..n]) {
-                    if let Some(sender) = receiving.receivers.lock().unwrap().get(&packet.dst.port()) {
+                    if let Some(sender) =
+                        receiving.receivers.lock().unwrap().get(&packet.dst.port())
+                    {
                         let _ = sender.send(packet);
                     }
                 }
@@ -772,14 +891,25 @@
     }
 
     /// Starts a user that keeps a flow open for `per_flow` requests, and then opens another one.
-    pub fn add_user(self: &Arc<Self>, number: u16, kind: &'static str, route: SocketAddrV4, per_flow: u64, pause_ms: u64) {
+    pub fn add_user(
+        self: &Arc<Self>,
+        number: u16,
+        kind: &'static str,
+        route: SocketAddrV4,
+        per_flow: u64,
+        pause_ms: u64,
+    ) {
         let client = self.clone();
         thread::spawn(move || {
             let mut random = Random(u64::from(u32::from(client.ip)) << 16 | u64::from(number));
             let mut port = 2_000 + number * 1_000;
             thread::sleep(millis(random.below(pause_ms)));
             while !client.stopped.load(Ordering::Relaxed) {
-                port = if port % 1_000 == 999 { port - 999 } else { port + 1 };
+                port = if port % 1_000 == 999 {
+                    port - 999
+                } else {
+                    port + 1
+                };
                 let (sender, packets) = channel();
                 client.receivers.lock().unwrap().insert(port, sender);
                 client.use_flow(&mut random, port, kind, route, per_flow, pause_ms, packets);
@@ -823,40 +953,83 @@
                 break;
             }
             // A reset may also arrive between two requests.
-            match flow.packets.recv_timeout(millis(pause_ms / 2 + random.below(pause_ms))) {
+            match flow
+                .packets
+                .recv_timeout(millis(pause_ms / 2 + random.below(pause_ms)))
+            {
                 Ok(packet) if packet.flags & RST != 0 => {
                     let outcome = match packet.is_authentic() {
                         true => Outcome::ResetByEndpoint,
                         false => Outcome::ResetBySystem,
                     };
                     let (at, holder) = (self.log.now(), self.holder(&flow));
-                    self.record("none (idle flow)".into(), kind, address, at, flow.opened, outcome, holder);
+                    self.record(
+                        "none (idle flow)".into(),
+                        kind,
+                        address,
+                        at,
+                        flow.opened,
+                        outcome,
+                        holder,
+                    );
                     return;
                 }
                 _ => {}
             }
         }
-        let finish = Packet { flags: FIN | ACK, ..self.packet(&flow) };
+        let finish = Packet {
+            flags: FIN | ACK,
+            ..self.packet(&flow)
+        };
         self.send(&finish);
     }
 
     fn holder(&self, flow: &Flow) -> Option<u64> {
         let endpoints = self.endpoints.lock().unwrap();
-        let mut live = endpoints.iter().filter(|it| !it.stopped.load(Ordering::Relaxed));
-        live.find(|it| it.has_open(flow.client, flow.route)).map(|it| it.id)
+        let mut live = endpoints
+            .iter()
+            .filter(|it| !it.stopped.load(Ordering::Relaxed));
+        live.find(|it| it.has_open(flow.client, flow.route))
+            .map(|it| it.id)
     }
 
-    fn record(&self, id: String, kind: &'static str, client: SocketAddrV4, sent: u64, opened: u64, outcome: Outcome, holder: Option<u64>) {
+    fn record(
+        &self,
+        id: String,
+        kind: &'static str,
+        client: SocketAddrV4,
+        sent: u64,
+        opened: u64,
+        outcome: Outcome,
+        holder: Option<u64>,
+    ) {
         let ended = self.log.now();
         if outcome != Outcome::Served {
             let held = holder.map_or("no endpoint".to_owned(), |it| format!("i-{it:08x}"));
             self.log.add(format!("client {client}: {kind} {id}, sent at {sent} ms, flow open since {opened} ms, flow held open by {held}: {outcome:?}"));
         }
-        self.requests.lock().unwrap().push(Request { id, kind, sent, opened, ended, outcome, holder });
+        self.requests.lock().unwrap().push(Request {
+            id,
+            kind,
+            sent,
+            opened,
+            ended,
+            outcome,
+            holder,
+        });
     }
 
     fn packet(&self, flow: &Flow) -> Packet {
-        Packet { src: flow.client, dst: flow.route, flags: ACK, echo: flow.echo, seq: flow.seq, ack: flow.ack, data: Vec::new(), sum: 0 }
+        Packet {
+            src: flow.client,
+            dst: flow.route,
+            flags: ACK,
+            echo: flow.echo,
+            seq: flow.seq,
+            ack: flow.ack,
+            data: Vec::new(),
+            sum: 0,
+        }
     }
 
     fn send(&self, packet: &Packet) {
@@ -865,10 +1038,25 @@
         }
     }
 
-    fn open(&self, random: &mut Random, client: SocketAddrV4, route: SocketAddrV4, packets: Receiver<Packet>) -> Result<Flow, &'static str> {
+    fn open(
+        &self,
+        random: &mut Random,
+        client: SocketAddrV4,
+        route: SocketAddrV4,
+        packets: Receiver<Packet>,
+    ) -> Result<Flow, &'static str> {
         let seq = random.next() as u32;
         for (copy, wait) in [(0, 200), (1, 400), (2, 800)] {
-            self.send(&Packet { src: client, dst: route, flags: SYN, echo: 0, seq, ack: copy, data: Vec::new(), sum: 0 });
+            self.send(&Packet {
+                src: client,
+                dst: route,
+                flags: SYN,
+                echo: 0,
+                seq,
+                ack: copy,
+                data: Vec::new(),
+                sum: 0,
+            });
             match packets.recv_timeout(millis(wait)) {
                 Ok(answer) if answer.flags & RST != 0 => return Err("reset"),
                 Ok(answer) if answer.flags & SYN != 0 => {
@@ -894,7 +1082,10 @@
     fn request(&self, flow: &mut Flow, kind: &'static str, id: &str) -> Outcome {
         let method = if kind == "order" { "POST" } else { "GET" };
         let text = format!("{method} /{kind} HTTP/1.1\r\nHost: desk\r\nMulberrynotch-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n");
-        let packet = Packet { data: text.into_bytes(), ..self.packet(flow) };
+        let packet = Packet {
+            data: text.into_bytes(),
+            ..self.packet(flow)
+        };
         let deadline = Instant::now() + millis(1_500);
         let mut wait = 200;
         let mut resend_at = Instant::now();
@@ -915,7 +1106,11 @@
                 Err(RecvTimeoutError::Disconnected) => return Outcome::TimedOut,
             };
             if received.flags & RST != 0 {
-                return if received.is_authentic() { Outcome::ResetByEndpoint } else { Outcome::ResetBySystem };
+                return if received.is_authentic() {
+                    Outcome::ResetByEndpoint
+                } else {
+                    Outcome::ResetBySystem
+                };
             }
             if !received.is_authentic() || received.data.is_empty() || received.seq != flow.ack {
                 continue;
@@ -926,7 +1121,11 @@
             flow.closing = received.flags & FIN != 0;
             self.send(&self.packet(flow));
             let text = String::from_utf8_lossy(&received.data).into_owned();
-            return if request_id(&text) == Some(id) { Outcome::Served } else { Outcome::Wrong };
+            return if request_id(&text) == Some(id) {
+                Outcome::Served
+            } else {
+                Outcome::Wrong
+            };
         }
     }
 }
