--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -20,6 +20,7 @@
 const TEMPLATE: &str = "deploy/settings.jsonc";
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 const SERVICE: &str = "desk";
+const OTHER_SERVICE: &str = "gallery";
 
 // Bounds of the small deployments in the users' pages, in milliseconds.
 const STABILITY_MS: u64 = 4_000;
@@ -180,26 +181,39 @@
     }
 
     fn publish_configuration(&self, version: u64) {
-        let route = |name: &str, last: u8, kind: &str| {
+        let route = |name: &str, last: u8, kind: &str, service: &str| {
             format!(
-                "{{\"name\":\"{name}\",\"host\":\"{}\",\"prefix\":\"/443/\",\"type\":\"{kind}\",\"timeout_ms\":1500,\"target_latency_ms\":150,\"priority\":1,\"service\":\"{SERVICE}\",\"attempts\":2}}",
+                "{{\"name\":\"{name}\",\"host\":\"{}\",\"prefix\":\"/443/\",\"type\":\"{kind}\",\"timeout_ms\":1500,\"target_latency_ms\":150,\"priority\":1,\"service\":\"{service}\",\"attempts\":2}}",
                 self.route(last).ip()
             )
         };
+        let service = |name: &str| {
+            format!(
+                "{{\"name\":\"{name}\",\"health_path\":\"/health\",\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false,\"warmup_s\":2.0,\"warmup_per_s\":0.0}}"
+            )
+        };
         let value = format!(
-            "{{\"version\":{version},\"routes\":[{},{}],\"services\":[{{\"name\":\"{SERVICE}\",\"health_path\":\"/health\",\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false,\"warmup_s\":2.0,\"warmup_per_s\":0.0}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}",
-            route("r-feed", 1, "idempotent"),
-            route("r-order", 2, "non_idempotent")
+            "{{\"version\":{version},\"routes\":[{},{},{}],\"services\":[{},{}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}",
+            route("r-feed", 1, "idempotent", SERVICE),
+            route("r-order", 2, "non_idempotent", SERVICE),
+            route("r-photos", 3, "download", OTHER_SERVICE),
+            service(SERVICE),
+            service(OTHER_SERVICE)
         );
         self.store.put("op/config", Some(value.into_bytes()));
     }
 
     fn add_endpoint(&self, zone: usize, last: u8) {
+        self.add_endpoint_of(SERVICE, zone, last);
+    }
+
+    fn add_endpoint_of(&self, service: &str, zone: usize, last: u8) -> Arc<Endpoint> {
         let address = SocketAddrV4::new(ip(self.block, 5, last), net::ENDPOINT_PORT);
         let id = 0x7f00_0000 + u64::from(last) * 0x0101;
-        let endpoint = Endpoint::start(id, SERVICE, ZONES[zone], address, self.log.clone());
+        let endpoint = Endpoint::start(id, service, ZONES[zone], address, self.log.clone());
         self.store.put(&endpoint.key(), Some(endpoint.entry()));
-        self.endpoints.lock().unwrap().push(endpoint);
+        self.endpoints.lock().unwrap().push(endpoint.clone());
+        endpoint
     }
 
     /// Fills in the template of the deploy file, as the platform does.
@@ -536,6 +550,84 @@
     i32::from(late > 0)
 }
 
+/// ROUTE: an entry of another writer lacks fields, and its identifier is 0.
+fn zero(record: &str, trouble: bool) -> i32 {
+    let mut site = Site::start(2);
+    // The service has its own route, which gets no traffic here.
+    let other = site.add_endpoint_of(OTHER_SERVICE, 0, 40);
+    site.start_traffic();
+    let start = site.log.now();
+    site.wait_until(start + 8_000);
+    if trouble {
+        // The entry lacks "version" and "sequence".
+        let entry = format!(
+            "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"{}\",\"capacity\":2,\"state\":\"ready\",\"warmup_left_ms\":0}}",
+            other.address, other.zone
+        );
+        site.store.put("servers/i-00000000", Some(entry.into_bytes()));
+    }
+    site.wait_until(start + 20_000);
+    let runs = other.runs.lock().unwrap().clone();
+    for (at, id) in runs.iter().take(20) {
+        site.log.add(format!(
+            "check: request {id} ran at {at} ms on endpoint i-{:08x} of service {OTHER_SERVICE}, to which no route of the request leads",
+            other.id
+        ));
+    }
+    let orders = {
+        let ids: std::collections::HashSet<_> = runs.iter().map(|it| it.1.clone()).collect();
+        let requests = site.requests();
+        requests
+            .iter()
+            .filter(|it| it.kind == "order" && ids.contains(&it.id))
+            .count()
+    };
+    let verdict = format!(
+        "ROUTE: {} requests of routes to {SERVICE} ran on an endpoint of {OTHER_SERVICE}, {orders} of them orders",
+        runs.len()
+    );
+    site.finish(record, &verdict);
+    i32::from(!runs.is_empty())
+}
+
+/// RECOVER: another writer keeps outdated copies of the entries beside them, and all processes are
+/// killed.
+fn copies(record: &str, trouble: bool) -> i32 {
+    let mut site = Site::start(2);
+    site.start_traffic();
+    let start = site.log.now();
+    site.wait_until(start + 8_000);
+    let before = served_share(&site.requests(), start + 2_000, start + 8_000);
+    let log = site.log.clone();
+    if trouble {
+        let endpoints = site.endpoints.lock().unwrap().clone();
+        for endpoint in endpoints {
+            let entry = String::from_utf8_lossy(&endpoint.entry())
+                .replace("\"state\":\"ready\"", "\"state\":\"archived\"");
+            let key = format!("servers/old-{:08x}", endpoint.id);
+            site.store.put(&key, Some(entry.into_bytes()));
+        }
+    }
+    for process in &mut site.processes {
+        process.kill(&log);
+    }
+    let killed = log.now();
+    site.wait_until(killed + 500);
+    for process in &mut site.processes {
+        process.start(&log);
+    }
+    let back = log.now();
+    site.wait_until(back + RECOVERY_MS + 13_000);
+    let after = served_share(
+        &site.requests(),
+        back + RECOVERY_MS,
+        back + RECOVERY_MS + 11_000,
+    );
+    let verdict = format!("RECOVER: {before} of 1000 requests were served before the kill, {after} of 1000 later than {RECOVERY_MS} ms after it");
+    site.finish(record, &verdict);
+    i32::from(before >= 250 && after < 250)
+}
+
 /// Makes an endpoint report that it drains; returns the moment of the acknowledgement.
 fn drain(site: &Site, endpoint: &Endpoint) -> u64 {
     endpoint.draining.store(true, Ordering::Relaxed);
@@ -589,6 +681,8 @@
         "pages" => pages(record, trouble),
         "key" => key(record, trouble),
         "large" => large(record, trouble),
+        "zero" => zero(record, trouble),
+        "copies" => copies(record, trouble),
         _ => {
             eprintln!("no scenario {scenario}");
             2
