--- /dev/null
+++ b/review/drafts/zero/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+exec "$(dirname "$0")/../../standin/run" zero review/drafts/zero/record.txt
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -27,6 +27,20 @@
 const DRAIN_MS: u64 = 3_000;
 const RECOVERY_MS: u64 = 12_000;
 
+/// Interval of the endpoints' status reports, `heartbeat_ms`.
+const HEARTBEAT_MS: u64 = 1_200;
+
+/// Time for which endpoints that come back cold are down.
+const DOWN_MS: u64 = 4_500;
+
+/// Warm-up of the endpoints of the service [`OTHER_SERVICE`], `warmup_s` and `warmup_per_s`.
+const WARM_UP_MS: u64 = 8_000;
+const WARM_UP_PER_S: f64 = 2.0;
+
+/// `warmup_factor` and `warmup_slack`.
+const WARM_UP_FACTOR: f64 = 1.5;
+const WARM_UP_SLACK: f64 = 5.0;
+
 /// Largest value of an item in the store, `value_bytes` of the settings.
 const VALUE_BYTES: usize = 1_048_576;
 
@@ -129,17 +143,24 @@
 impl Site {
     /// Starts two balancers and `per_zone` endpoints a zone, and a store.
     fn start(per_zone: u8) -> Self {
+        Self::start_with(per_zone, &[0, 1, 2, 0, 1, 2])
+    }
+
+    /// Starts a balancer in each of these zones, `per_zone` endpoints a zone, and a store.
+    fn start_with(per_zone: u8, balancer_zones: &[usize]) -> Self {
         let (block, guard) = free_block();
         let log = Log::new();
         let store = Store::start(SocketAddrV4::new(ip(block, 1, 1), 8_169), log.clone());
         let endpoints: Arc<Mutex<Vec<Arc<Endpoint>>>> = Arc::default();
         let directory = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&directory).expect("no temporary folder");
-        let balancers: Vec<_> = (0..6_u8)
+        let balancers: Vec<_> = (0..balancer_zones.len())
             .map(|i| {
-                let zone = usize::from(i) % ZONES.len();
-                let name = format!("frontend-{}-{}", ZONES[zone], i / 3 + 1);
-                Balancer::new(name, ip(block, 2, i + 1), zone)
+                let zone = balancer_zones[i];
+                let before = &balancer_zones[..=i];
+                let number = before.iter().filter(|it| **it == zone).count();
+                let name = format!("frontend-{}-{number}", ZONES[zone]);
+                Balancer::new(name, ip(block, 2, i as u8 + 1), zone)
             })
             .collect();
         let router = Router::start(balancers.clone(), &log);
@@ -187,9 +208,9 @@
                 self.route(last).ip()
             )
         };
-        let service = |name: &str| {
+        let service = |name: &str, warm_up_s: f64, warm_up_per_s: f64| {
             format!(
-                "{{\"name\":\"{name}\",\"health_path\":\"/health\",\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false,\"warmup_s\":2.0,\"warmup_per_s\":0.0}}"
+                "{{\"name\":\"{name}\",\"health_path\":\"/health\",\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false,\"warmup_s\":{warm_up_s:.1},\"warmup_per_s\":{warm_up_per_s:.1}}}"
             )
         };
         let value = format!(
@@ -197,8 +218,8 @@
             route("r-feed", 1, "idempotent", SERVICE),
             route("r-order", 2, "non_idempotent", SERVICE),
             route("r-photos", 3, "download", OTHER_SERVICE),
-            service(SERVICE),
-            service(OTHER_SERVICE)
+            service(SERVICE, 2.0, 0.0),
+            service(OTHER_SERVICE, WARM_UP_MS as f64 / 1_000.0, WARM_UP_PER_S)
         );
         self.store.put("op/config", Some(value.into_bytes()));
     }
@@ -288,6 +309,31 @@
         self.log.add("clients: traffic starts".to_owned());
     }
 
+    /// Adds traffic of the route to [`OTHER_SERVICE`].
+    fn start_photos(&self) {
+        for client in &self.clients {
+            for user in 24..36 {
+                client.add_user(user, "photos", self.route(3), 1, 400);
+            }
+        }
+    }
+
+    /// Starts an endpoint that is down again, cold, under its identifier.
+    fn restart_cold(&self, endpoint: &Endpoint, cold_ms: u64) -> Arc<Endpoint> {
+        let zone = endpoint.zone.clone();
+        let again = Endpoint::start_cold(
+            endpoint.id,
+            &endpoint.service,
+            &zone,
+            endpoint.address,
+            cold_ms,
+            self.log.clone(),
+        );
+        self.store.put(&again.key(), Some(again.entry()));
+        self.endpoints.lock().unwrap().push(again.clone());
+        again
+    }
+
     fn wait_until(&mut self, at_ms: u64) {
         while self.log.now() < at_ms {
             for process in &mut self.processes {
@@ -604,7 +650,7 @@
         for endpoint in endpoints {
             let entry = String::from_utf8_lossy(&endpoint.entry())
                 .replace("\"state\":\"ready\"", "\"state\":\"archived\"");
-            let key = format!("servers/old-{:08x}", endpoint.id);
+            let key = format!("servers/prior-{:08x}", endpoint.id);
             site.store.put(&key, Some(entry.into_bytes()));
         }
     }
@@ -628,6 +674,65 @@
     i32::from(before >= 250 && after < 250)
 }
 
+/// FAILBACK: all endpoints of a service go down and come back together, cold.
+fn cold(record: &str, trouble: bool) -> i32 {
+    let mut site = Site::start_with(2, &[0, 1, 2, 0, 1, 2, 0, 1, 2, 0, 1, 2]);
+    // All endpoints of this service are in one zone.
+    let mut own: Vec<_> = [40, 41, 42, 43]
+        .iter()
+        .map(|last| site.add_endpoint_of(OTHER_SERVICE, 0, *last))
+        .collect();
+    site.start_traffic();
+    site.start_photos();
+    let start = site.log.now();
+    site.wait_until(start + 8_000);
+    if trouble {
+        let down_at = site.log.now();
+        for endpoint in &own {
+            endpoint.stop();
+            site.log
+                .add(format!("endpoint i-{:08x} is down", endpoint.id));
+        }
+        site.wait_until(down_at + 3 * HEARTBEAT_MS);
+        for endpoint in &own {
+            site.store.put(&endpoint.key(), None);
+        }
+        site.wait_until(down_at + DOWN_MS);
+        own = own
+            .iter()
+            .map(|it| site.restart_cold(it, WARM_UP_MS))
+            .collect();
+    }
+    site.wait_until(start + 24_000);
+    let limit = WARM_UP_PER_S * WARM_UP_FACTOR + WARM_UP_SLACK;
+    let mut most = 0;
+    for endpoint in own.iter().filter(|it| it.cold_ms > 0) {
+        let mut flows = std::collections::HashSet::new();
+        let mut at: Vec<u64> = Vec::new();
+        for (moment, client, _) in endpoint.openings.lock().unwrap().iter() {
+            let is_cold = *moment <= endpoint.started_at + endpoint.cold_ms;
+            if is_cold && flows.insert(*client) {
+                at.push(*moment);
+            }
+        }
+        let count = |first: usize| at[first..].iter().filter(|it| **it < at[first] + 1_000).count();
+        let Some(first) = (0..at.len()).max_by_key(|first| count(*first)) else {
+            continue;
+        };
+        most = most.max(count(first));
+        site.log.add(format!(
+            "check: cold endpoint i-{:08x}, started at {} ms, took {} opening packets in the second from {} ms on; {limit} are allowed",
+            endpoint.id,
+            endpoint.started_at,
+            count(first),
+            at[first]
+        ));
+    }
+    let verdict = format!("FAILBACK: a cold endpoint got up to {most} requests in one second, {limit} are allowed");
+    site.finish(record, &verdict);
+    i32::from(most as f64 > limit)
+}
+
 /// Makes an endpoint report that it drains; returns the moment of the acknowledgement.
 fn drain(site: &Site, endpoint: &Endpoint) -> u64 {
     endpoint.draining.store(true, Ordering::Relaxed);
@@ -683,6 +788,7 @@
         "large" => large(record, trouble),
         "zero" => zero(record, trouble),
         "copies" => copies(record, trouble),
+        "cold" => cold(record, trouble),
         _ => {
             eprintln!("no scenario {scenario}");
             2
--- a/review/standin/net.rs
+++ b/review/standin/net.rs
@@ -535,6 +535,9 @@
     pub zone: String,
     pub address: SocketAddrV4,
     pub born: u64,
+    /// Moment of the start on the clock of the log, and time for which the endpoint is cold then.
+    pub started_at: u64,
+    pub cold_ms: u64,
     pub stopped: AtomicBool,
     pub draining: AtomicBool,
     pub work_ms: AtomicU64,
@@ -553,6 +556,18 @@
         zone: &str,
         address: SocketAddrV4,
         log: Arc<Log>,
+    ) -> Arc<Self> {
+        Self::start_cold(id, service, zone, address, 0, log)
+    }
+
+    /// Starts an endpoint that is cold for `cold_ms`.
+    pub fn start_cold(
+        id: u64,
+        service: &str,
+        zone: &str,
+        address: SocketAddrV4,
+        cold_ms: u64,
+        log: Arc<Log>,
     ) -> Arc<Self> {
         let socket = UdpSocket::bind(address).expect("an endpoint's address is in use");
         socket.set_read_timeout(Some(millis(20))).unwrap();
@@ -566,6 +581,8 @@
             zone: zone.to_owned(),
             address,
             born: born.as_millis() as u64,
+            started_at: log.now(),
+            cold_ms,
             stopped: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             work_ms: AtomicU64::new(40),
@@ -608,8 +625,12 @@
             "ready"
         };
         format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"capacity\":2,\"state\":\"{state}\",\"warmup_left_ms\":0,\"sequence\":4,\"born\":{}}}",
-            self.service, self.address, self.zone, self.born
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"capacity\":2,\"state\":\"{state}\",\"warmup_left_ms\":{},\"sequence\":4,\"born\":{}}}",
+            self.service,
+            self.address,
+            self.zone,
+            (self.started_at + self.cold_ms).saturating_sub(self.log.now()),
+            self.born
         )
         .into_bytes()
     }
