--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -610,7 +610,8 @@
             "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"{}\",\"capacity\":2,\"state\":\"ready\",\"warmup_left_ms\":0}}",
             other.address, other.zone
         );
-        site.store.put("servers/i-00000000", Some(entry.into_bytes()));
+        site.store
+            .put("servers/i-00000000", Some(entry.into_bytes()));
     }
     site.wait_until(start + 20_000);
     let runs = other.runs.lock().unwrap().clone();
@@ -715,7 +716,12 @@
                 at.push(*moment);
             }
         }
-        let count = |first: usize| at[first..].iter().filter(|it| **it < at[first] + 1_000).count();
+        let count = |first: usize| {
+            at[first..]
+                .iter()
+                .filter(|it| **it < at[first] + 1_000)
+                .count()
+        };
         let Some(first) = (0..at.len()).max_by_key(|first| count(*first)) else {
             continue;
         };
@@ -728,7 +734,9 @@
             at[first]
         ));
     }
-    let verdict = format!("FAILBACK: a cold endpoint got up to {most} requests in one second, {limit} are allowed");
+    let verdict = format!(
+        "FAILBACK: a cold endpoint got up to {most} requests in one second, {limit} are allowed"
+    );
     site.finish(record, &verdict);
     i32::from(most as f64 > limit)
 }
