--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,2 @@
 #!/bin/bash
-exec "$(dirname "$0")/../standin/run" key review/2/record.txt
+exec "$(dirname "$0")/../standin/run" foreign review/2/record.txt
