--- a/review/drafts/zero/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/bash
-exec "$(dirname "$0")/../../standin/run" zero review/drafts/zero/record.txt
