Give an entry no effect before a configuration names its service

Cause: whether an entry names a target to use was never decided. An entry of an unknown service got no flows, since no route leads to it, but it was a full target in the comparison of addresses (which marked the live target as ended), in the index of cookies, in the count of a mass removal, in probes and in the decision on the rotation.

Ruled out: that a route uses the entry (it got no packet); that the target's own entry was removed (the test sees Ended, not Removed).

Change: Target::configured. An entry takes effect once a configuration names its service, also when the configuration comes after it; it is kept and passed on before, and a service that is no longer named keeps its flows.

--- a/crates/mulberrynotch_steer/src/catalog.rs
+++ b/crates/mulberrynotch_steer/src/catalog.rs
@@ -98,6 +98,8 @@
 mulberrynotch_macros::value! {
     /// Reason why a target takes no new flows according to the register.
     pub enum Exclusion {
+        /// No configuration has named its service.
+        Unconfigured,
         /// Another target has its address.
         Ended,
         /// Its entry was removed.
@@ -130,10 +132,13 @@
     configuration: Arc<record::Configuration>,
     configuration_write: revision::Write,
     routes: HashMap<SocketAddrV4, usize>,
+    /// Services that the configuration lists or that its routes refer to.
+    named_services: BTreeSet<Arc<str>>,
     zones: BTreeMap<Arc<str>, Zone>,
     targets: BTreeMap<record::Id, Target>,
+    /// Targets by cookie; only those in use.
     cookies: HashMap<u32, record::Id>,
-    /// Most recently started target at each address.
+    /// Most recently started target in use at each address.
     addresses: HashMap<SocketAddrV4, record::Id>,
     services: HashMap<Arc<str>, BTreeSet<record::Id>>,
     as_of: revision::Revision,
@@ -159,6 +164,7 @@
             configuration: Arc::new(record::Configuration::empty()),
             configuration_write: revision::Write::default(),
             routes: HashMap::new(),
+            named_services: BTreeSet::new(),
             zones: BTreeMap::new(),
             targets: BTreeMap::new(),
             cookies: HashMap::new(),
@@ -207,7 +213,7 @@
     /// targets share the cookie.
     pub fn target_by_cookie(&self, cookie: u32) -> Option<&Target> {
         let target = self.targets.get(self.cookies.get(&cookie)?)?;
-        (!target.ambiguous).then_some(target)
+        (target.configured && !target.ambiguous).then_some(target)
     }
 
     /// Returns a target, also for a while after its removal.
@@ -229,7 +235,9 @@
     /// Returns why a target takes no new flows; `None` if it takes them, including while it is
     /// cold.
     pub fn exclusion(&self, now: Duration, target: &Target) -> Option<Exclusion> {
-        if target.ended {
+        if !target.configured {
+            Some(Exclusion::Unconfigured)
+        } else if target.ended {
             Some(Exclusion::Ended)
         } else if target.is_removed(now) {
             Some(Exclusion::Removed)
@@ -245,7 +253,7 @@
 
     /// Returns whether a target runs according to the register, whether or not it takes new flows.
     pub fn is_running(&self, now: Duration, target: &Target) -> bool {
-        !target.ended && !target.is_removed(now)
+        target.configured && !target.ended && !target.is_removed(now)
     }
 
     /// Returns whether a zone is out of service.
@@ -258,6 +266,11 @@
         self.zones.get(zone)?.returned_at
     }
 
+    /// Returns whether the configuration names a service.
+    fn names(&self, service: &str) -> bool {
+        self.named_services.contains(service)
+    }
+
     /// Returns the limits of a service.
     pub fn service(&self, name: &str) -> Option<&record::Service> {
         let services = &self.configuration.services;
--- a/crates/mulberrynotch_steer/src/catalog/merge.rs
+++ b/crates/mulberrynotch_steer/src/catalog/merge.rs
@@ -38,25 +38,59 @@
                 (record::Key::Target(id), Some(_)) => Some(*id),
                 _ => None,
             };
-            changes.extend(self.merge_record(now, record, mass_removal));
+            let change = self.merge_record(now, record, mass_removal);
+            let is_configuration = matches!(change, Some(Change::Configuration { .. }));
+            changes.extend(change);
             changes.extend(updated.and_then(|id| self.compare_addresses(id)));
+            if is_configuration {
+                changes.extend(self.admit_targets());
+            }
         }
         changes
     }
 
+    /// Takes the targets into use whose service the configuration names now. Targets of a service
+    /// that it no longer names keep their flows.
+    fn admit_targets(&mut self) -> Vec<Change> {
+        let waiting = self.targets.values().filter(|it| !it.configured);
+        let named = waiting.filter(|it| self.names(&it.entry.service));
+        let named: Vec<_> = named.map(|it| it.id).collect();
+        let mut changes = Vec::new();
+        for id in named {
+            let ambiguous = self.index_cookie(id);
+            if let Some(target) = self.targets.get_mut(&id) {
+                (target.configured, target.ambiguous) = (true, ambiguous);
+            }
+            changes.extend(self.compare_addresses(id));
+        }
+        changes
+    }
+
+    /// Makes a target known by its cookie; returns whether another target has the same one.
+    fn index_cookie(&mut self, id: record::Id) -> bool {
+        let holder = *self.cookies.entry(cookie::of(id.0)).or_insert(id);
+        let ambiguous = holder != id;
+        if ambiguous && let Some(holder) = self.targets.get_mut(&holder) {
+            holder.ambiguous = true;
+        }
+        ambiguous
+    }
+
     fn removes_undrained(&self, record: &record::Record) -> bool {
         let record::Key::Target(id) = record.key else {
             return false;
         };
         let known = self.targets.get(&id);
         record.removed_ms.is_some()
-            && known.is_some_and(|it| it.removed_at.is_none() && !it.entry.draining)
+            && known
+                .is_some_and(|it| it.configured && it.removed_at.is_none() && !it.entry.draining)
     }
 
     /// Returns whether this many targets, which disappeared together without draining, indicate a
     /// fault of the store rather than of the targets.
     fn is_mass_removal(&self, removals: usize) -> bool {
-        let present = self.targets.values().filter(|it| it.removed_at.is_none());
+        let in_use = self.targets.values().filter(|it| it.configured);
+        let present = in_use.filter(|it| it.removed_at.is_none());
         removals >= MIN_MASS_REMOVALS && removals * MASS_REMOVAL_DIVISOR >= present.count()
     }
 
@@ -110,6 +144,10 @@
         }
         let routes = configuration.routes.iter().enumerate();
         self.routes = routes.map(|(index, it)| (it.address, index)).collect();
+        let listed = configuration.services.iter().map(|it| it.name.clone());
+        let shares = configuration.routes.iter().flat_map(|it| &it.shares);
+        let routed = shares.map(|it| it.service.clone());
+        self.named_services = listed.chain(routed).collect();
         self.configuration = configuration;
         Some(Change::Configuration { version })
     }
@@ -178,12 +216,10 @@
         entry: record::Target,
         removed_at: Option<Duration>,
     ) {
-        let cookie = cookie::of(id.0);
-        let holder = *self.cookies.entry(cookie).or_insert(id);
-        let ambiguous = holder != id;
-        if ambiguous && let Some(holder) = self.targets.get_mut(&holder) {
-            holder.ambiguous = true;
-        }
+        let was_in_use = |it: &Target| it.configured && it.entry.service == entry.service;
+        let configured =
+            self.names(&entry.service) || self.targets.get(&id).is_some_and(was_in_use);
+        let ambiguous = configured && self.index_cookie(id);
         let known = self.targets.get(&id);
         let ended = known.is_some_and(|it| it.ended && it.entry.started_ms == entry.started_ms);
         let previous_service = known.map(|it| it.entry.service.clone());
@@ -201,6 +237,7 @@
             entry,
             write,
             own_write: write,
+            configured,
             ended,
             removed_at,
             removal_effective_at: Duration::ZERO,
@@ -209,16 +246,16 @@
         self.targets.insert(id, target);
     }
 
-    /// Compares a target with the most recently started one at its address, and marks the earlier
-    /// one as ended.
+    /// Compares a target in use with the most recently started one at its address, and marks the
+    /// earlier one as ended.
     fn compare_addresses(&mut self, id: record::Id) -> Option<Change> {
-        let target = self.targets.get(&id)?;
+        let target = self.targets.get(&id).filter(|it| it.configured)?;
         let address = target.entry.address;
         let other = self
             .addresses
             .get(&address)
             .and_then(|it| self.targets.get(it))
-            .filter(|it| it.id != id && it.entry.address == address);
+            .filter(|it| it.configured && it.id != id && it.entry.address == address);
         let (ended, latest) = match other {
             Some(other) if target.supersedes(other) => (Some(other.id), id),
             Some(other) if other.supersedes(target) => (Some(id), other.id),
--- a/crates/mulberrynotch_steer/src/catalog/target.rs
+++ b/crates/mulberrynotch_steer/src/catalog/target.rs
@@ -19,6 +19,9 @@
         pub write: revision::Write,
         /// Last write by the target itself; a removal does not change it.
         pub own_write: revision::Write,
+        /// True once a configuration has named its service. Until then the entry may be another
+        /// writer's: it names no target to use and has no effect on other targets.
+        pub configured: bool,
         /// True when another target has its address: it has ended, and no packet reaches it.
         pub ended: bool,
         /// Time at which the target's warm-up ends.
@@ -44,13 +47,17 @@
         Removed,
         /// Another target has its address.
         Ended,
+        /// No configuration has named its service, so the entry has no effect.
+        Unconfigured,
     }
 }
 
 impl Target {
     /// Returns the state of the target at `now`.
     pub fn state(&self, now: Duration) -> State {
-        if self.ended {
+        if !self.configured {
+            State::Unconfigured
+        } else if self.ended {
             State::Ended
         } else if self.removed_at.is_some() {
             State::Removed
