Count a reader's silence from the store's last answer

Cause: a pending watch counted as a healthy reader for 2.7 s, and the zone's next reader counted 1.0 s and 0.25 s a place from the end of that claim. What the peers counted was the age of a claim, not of the store's last answer. A second gap of the same class: what the others repeated of a reader's age looked to that reader like another one, so the one that took over stopped after each watch, for over a second.

Ruled out: the push to the zone; a shorter watch alone, which costs four times the calls for the same bound.

Change: beside a watch that has heard nothing for 0.5 s the reader reads an empty page, which may be answered from a copy (a tenth of a call). Heartbeats carry the time since the last answer. The first watch of a takeover returns at once. In a full mesh only readers tell of a reader. RELAY_DELAY grows by the period of the small reads. New lines store_reader, call= in store_call_failed, counter mulberrynotch_store_pings_total. The check of calls in tests/control.rs stays at 8 and bounds the small reads as well.

--- a/crates/mulberrynotch_net/src/steer/log.rs
+++ b/crates/mulberrynotch_net/src/steer/log.rs
@@ -271,6 +271,20 @@
         Event::StoreLost { age } => {
             event::warn("store_lost", &[("register_age_ms", &Millis(*age))]);
         }
+        Event::Reader {
+            reads,
+            rank,
+            reader_age,
+        } => write_limited(
+            &READS,
+            now,
+            "store_reader",
+            &[
+                ("reads", reads),
+                ("rank", rank),
+                ("others_silent_ms", &Millis(Some(*reader_age))),
+            ],
+        ),
         Event::StoreRegained => event::info("store_regained", &[]),
         Event::HistoryLost { as_of, era } => write_limited(
             &READS,
--- a/crates/mulberrynotch_net/src/steer/store.rs
+++ b/crates/mulberrynotch_net/src/steer/store.rs
@@ -17,6 +17,9 @@
     pub(super) async fn call_store(self: Arc<Self>, call: reader::Call) {
         let address = SocketAddr::V4(self.settings.store_address);
         metrics::counter!("mulberrynotch_store_calls_total").increment(1);
+        if call == reader::Call::Ping {
+            metrics::counter!("mulberrynotch_store_pings_total").increment(1);
+        }
         let started = self.now();
         let answer = (self.platform.call_store)(address, call).await;
         if matches!(call, reader::Call::List { .. }) {
@@ -25,7 +28,8 @@
         }
         if let Err(error) = &answer {
             metrics::counter!("mulberrynotch_store_failures_total").increment(1);
-            STORE_CALL_FAILED.warn(self.now(), "store_call_failed", &[("error", error)]);
+            let fields: [event::Field<'_>; 2] = [("call", &call.name()), ("error", error)];
+            STORE_CALL_FAILED.warn(self.now(), "store_call_failed", &fields);
         }
         self.drive(|machine, now| machine.call_ended(now, call, answer.ok()));
     }
--- a/crates/mulberrynotch_standin/src/emulator/world/balancer.rs
+++ b/crates/mulberrynotch_standin/src/emulator/world/balancer.rs
@@ -204,6 +204,13 @@
                 after,
                 deadline: self.now + wait,
             }),
+            reader::Call::Ping => {
+                let answer = Some(reader::Answer::Pong);
+                self.schedule(
+                    STORE_DELAY,
+                    Event::StoreAnswer(index, incarnation, call, answer),
+                );
+            }
         }
     }
 
--- a/crates/mulberrynotch_steer/src/fleet.rs
+++ b/crates/mulberrynotch_steer/src/fleet.rs
@@ -33,7 +33,7 @@
 const FAR_SAMPLE_SIZE: usize = 1;
 
 /// Time for a state to propagate through a zone in which not all members hear each other.
-const RELAY_DELAY: Duration = Duration::from_millis(1_200);
+const RELAY_DELAY: Duration = Duration::from_millis(1_700);
 
 /// Members in the answer to a joining process.
 const MAX_INTRODUCTION_MEMBERS: usize = 40;
--- a/crates/mulberrynotch_steer/src/machine.rs
+++ b/crates/mulberrynotch_steer/src/machine.rs
@@ -172,8 +172,10 @@
     confirmed_at: Option<Duration>,
     /// End of a pause after which the register has not been confirmed.
     resumed_at: Option<Duration>,
-    /// Time at which another reader in this zone last reached the store.
+    /// Time at which the store last answered another reader in this zone.
     reader_at: Option<Duration>,
+    /// True while this process answers for its zone.
+    is_reader: bool,
     /// Peer that has changes or removed targets which this process lacks.
     pull_source: Option<fetch::PullSource>,
     pulled_at: Option<Duration>,
@@ -211,6 +213,7 @@
             confirmed_at: None,
             resumed_at: None,
             reader_at: None,
+            is_reader: false,
             pull_source: None,
             pulled_at: None,
             pending_relays: VecDeque::new(),
--- a/crates/mulberrynotch_steer/src/machine/event.rs
+++ b/crates/mulberrynotch_steer/src/machine/event.rs
@@ -157,6 +157,15 @@
         },
         /// The store answers again.
         StoreRegained,
+        /// This process began or ceased to read the store for its zone.
+        Reader {
+            /// True when it reads.
+            reads: bool,
+            /// Its rank in the order of readers; 0 is the first.
+            rank: usize,
+            /// Time since the store last answered another reader of the zone.
+            reader_age: Duration,
+        },
         /// The store no longer has the history that a watch needs; all records are read again.
         HistoryLost {
             /// Revision up to which every change was known.
--- a/crates/mulberrynotch_steer/src/machine/heartbeat.rs
+++ b/crates/mulberrynotch_steer/src/machine/heartbeat.rs
@@ -55,11 +55,14 @@
         }
     }
 
-    pub(super) fn reader_ms(&self, now: Duration) -> u32 {
-        if self.reader.is_healthy(now) && !self.leaving {
-            return 0;
-        }
-        millis(self.reader_at.map(|at| now.saturating_sub(at)))
+    /// Returns the time since the store last answered a reader of this zone. In a zone whose members
+    /// all hear each other, only a reader says so: what the others repeat would look to the reader
+    /// like a second one.
+    fn reader_ms(&self, now: Duration) -> u32 {
+        let own = self.reader.silence(now).filter(|_| !self.leaving);
+        let is_relayed = self.fleet.relay_delay() > Duration::ZERO;
+        let heard = self.reader_at.map(|at| now.saturating_sub(at));
+        millis(own.or(heard.filter(|_| is_relayed)))
     }
 
     /// Handles a message from a peer.
--- a/crates/mulberrynotch_steer/src/machine/store.rs
+++ b/crates/mulberrynotch_steer/src/machine/store.rs
@@ -28,6 +28,27 @@
         if let Some(call) = self.reader.next(now, zone, self.catalog.as_of()) {
             self.actions.push(Action::Call(call));
         }
+        if let Some(ping) = self.reader.ping(now) {
+            self.actions.push(Action::Call(ping));
+        }
+        self.check_reader(now, zone);
+    }
+
+    /// Notices when this process begins or ceases to answer for its zone. After a takeover it tells its
+    /// peers at once, so that no further one takes over.
+    fn check_reader(&mut self, now: Duration, zone: reader::Zone) {
+        let is_reader = self.reader.is_healthy(now);
+        if std::mem::replace(&mut self.is_reader, is_reader) == is_reader {
+            return;
+        }
+        self.log(Event::Reader {
+            reads: is_reader,
+            rank: zone.rank,
+            reader_age: zone.reader_age,
+        });
+        if is_reader && zone.rank > 0 {
+            self.heartbeat_at = now;
+        }
     }
 
     /// Handles the result of a call to the store; `None` for a failed call.
@@ -38,6 +59,7 @@
         answer: Option<reader::Answer>,
     ) {
         match (call, answer) {
+            (reader::Call::Ping, answer) => self.reader.ping_ended(now, answer.is_some()),
             (_, Some(reader::Answer::Listed { as_of, records })) => {
                 self.listed(now, as_of, records);
             }
@@ -112,7 +134,9 @@
                 self.watch_interrupted(now, after, as_of.era);
             }
             reader::Answer::HistoryLost { era } => self.watch_interrupted(now, after, era),
-            reader::Answer::Listed { .. } | reader::Answer::TooMany => self.call_failed(now),
+            reader::Answer::Listed { .. } | reader::Answer::TooMany | reader::Answer::Pong => {
+                self.call_failed(now);
+            }
         }
     }
 
--- a/crates/mulberrynotch_steer/src/message.rs
+++ b/crates/mulberrynotch_steer/src/message.rs
@@ -48,7 +48,8 @@
         pub removal_history_ms: u32,
         /// Time since the sender's register was last confirmed as current, in milliseconds.
         pub confirmed_ms: u32,
-        /// Time since a reader in the sender's zone last reached the store, in milliseconds.
+        /// Time since the store last answered a reader in the sender's zone, in milliseconds;
+        /// `u32::MAX` when the sender cannot tell.
         pub reader_ms: u32,
         /// Sample of the members that the sender knows.
         pub members: Vec<Member>,
--- a/crates/mulberrynotch_steer/src/reader.rs
+++ b/crates/mulberrynotch_steer/src/reader.rs
@@ -1,7 +1,9 @@
 //! Election of the balancers that read the store, and the schedule of their calls.
 //!
-//! One balancer of a zone watches the store for changes and sends them to the others. Another one
-//! takes over when no balancer of the zone is known to reach the store.
+//! One balancer of a zone watches the store for changes and sends them to the others. A watch is
+//! silent while nothing changes, so a small read beside it shows every half a second whether the store
+//! still answers. The others know when it last did, and the next one takes over when that is too long
+//! ago.
 
 use std::time::Duration;
 
@@ -16,6 +18,12 @@
 /// Timeout of a call to the store; for a watch in addition to [`WATCH_WAIT`].
 pub const TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time since the store's last answer after which a balancer with a pending watch makes a small read.
+const PING_PERIOD: Duration = Duration::from_millis(500);
+
+/// Time since the store's last answer after which a reader no longer answers for its zone.
+const MAX_SILENCE: Duration = Duration::from_millis(1_000);
+
 /// Pause between a change and the next watch, so that a burst of changes needs few calls.
 const CHANGE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -61,6 +69,8 @@
             /// Time for which the store holds the watch open without a change.
             wait: Duration,
         },
+        /// Reads little, to learn whether the store answers. The answer may be some seconds old.
+        Ping,
     }
 
     /// How a call ended.
@@ -101,6 +111,19 @@
         },
         /// The store has more records than a short read returns.
         TooMany,
+        /// The store answered a [`Call::Ping`].
+        Pong,
+    }
+}
+
+impl Call {
+    /// Returns the name of the call in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::List { .. } => "list",
+            Self::Watch { .. } => "watch",
+            Self::Ping => "ping",
+        }
     }
 }
 
@@ -109,7 +132,7 @@
 pub struct Zone {
     /// Rank in the order of readers; 0 is the first.
     pub rank: usize,
-    /// Time since another reader of the zone last reached the store.
+    /// Time since the store last answered another reader of the zone.
     pub reader_age: Duration,
     /// Time that the state of a reader takes to propagate through the zone.
     pub relay_delay: Duration,
@@ -121,7 +144,11 @@
     pending: Option<(Call, Duration)>,
     next_at: Duration,
     backoff: Option<Duration>,
+    /// Time of the last answer of the store.
     answered_at: Option<Duration>,
+    /// Start of the latest [`Call::Ping`].
+    pinged_at: Option<Duration>,
+    ping_pending: bool,
     /// Time at which a watch last ended with an answer.
     watched_at: Option<Duration>,
     list_needed: bool,
@@ -159,8 +186,10 @@
                 short: !self.postponed,
             }
         } else {
-            // After an outage the answer shows at once whether the store lost something.
-            let wait = match self.is_failing() {
+            // After an outage the answer shows at once whether the store lost something, and at a
+            // takeover whether it answers this balancer.
+            let is_unproven = !is_responsible && !self.is_answered(now);
+            let wait = match self.is_failing() || is_unproven {
                 true => Duration::ZERO,
                 false => WATCH_WAIT,
             };
@@ -170,6 +199,28 @@
         Some(call)
     }
 
+    /// Returns the small read to make now beside a pending watch, if any.
+    pub fn ping(&mut self, now: Duration) -> Option<Call> {
+        let Some((Call::Watch { .. }, started)) = self.pending else {
+            return None;
+        };
+        let last = self.answered_at.max(self.pinged_at).max(Some(started))?;
+        if self.ping_pending || now < last + PING_PERIOD {
+            return None;
+        }
+        self.pinged_at = Some(now);
+        self.ping_pending = true;
+        Some(Call::Ping)
+    }
+
+    /// Handles the end of a [`Call::Ping`].
+    pub fn ping_ended(&mut self, now: Duration, answered: bool) {
+        self.ping_pending = false;
+        if answered {
+            self.answered_at = self.answered_at.max(Some(now));
+        }
+    }
+
     /// Schedules a complete read as the next call.
     pub fn invalidate(&mut self) {
         self.list_needed = true;
@@ -222,9 +273,10 @@
         Some((call, started))
     }
 
-    /// Returns whether this balancer watches the store and the store answers, as far as it knows. A
-    /// balancer that has only read once does not receive changes.
-    pub fn is_healthy(&self, now: Duration) -> bool {
+    /// Returns the time since the store last answered this balancer, if it watches the store; `None`
+    /// when it cannot answer for its zone. A balancer that has only read once does not receive
+    /// changes.
+    pub fn silence(&self, now: Duration) -> Option<Duration> {
         let within = |at: Duration, limit| now.saturating_sub(at) < limit;
         let is_watching = match self.pending {
             Some((Call::Watch { .. }, since)) => within(since, WATCH_WAIT + TIMEOUT),
@@ -234,8 +286,19 @@
                 .watched_at
                 .is_some_and(|at| within(at, CHANGE_PAUSE * 3)),
         };
-        let is_recent = |at| within(at, WATCH_WAIT + TIMEOUT + CHANGE_PAUSE);
-        self.backoff.is_none() && is_watching && self.answered_at.is_some_and(is_recent)
+        let silence = now.saturating_sub(self.answered_at?);
+        let is_healthy = self.backoff.is_none() && is_watching && silence < MAX_SILENCE;
+        is_healthy.then_some(silence)
+    }
+
+    /// Returns whether this balancer watches the store and the store answers, as far as it knows.
+    pub fn is_healthy(&self, now: Duration) -> bool {
+        self.silence(now).is_some()
+    }
+
+    fn is_answered(&self, now: Duration) -> bool {
+        self.answered_at
+            .is_some_and(|at| now.saturating_sub(at) < MAX_SILENCE)
     }
 
     /// Returns whether the pending complete read replaces a watch, after the loss of the history or
--- a/crates/mulberrynotch_steer/tests/control.rs
+++ b/crates/mulberrynotch_steer/tests/control.rs
@@ -33,10 +33,12 @@
 fn one_balancer_of_a_zone_reads_for_all() {
     let mut fleet = Fleet::new(8);
     fleet.run(3_000);
-    fleet.calls = 0;
+    (fleet.calls, fleet.pings) = (0, 0);
     fleet.run(10_000);
     // One watch every two seconds, and a margin for one change of the reader.
     assert!(fleet.calls <= 8, "{} calls in 10 s", fleet.calls);
+    // One small read every half a second, a tenth of a call each, by one balancer.
+    assert!(fleet.pings <= 20, "{} pings in 10 s", fleet.pings);
 }
 
 /// Guards against a zone that gets no changes after its reader has died.
