Fetch from another zone when the own one is behind as a whole

Cause: a heartbeat of another zone was used as a source only after the process had been behind an accepted source for 0.6 s (ZONE_GRACE), or without a live member in its own zone. A zone whose balancers are all equally behind has no accepted source, so it never fetched.

Ruled out: that takeovers mend it, since there is no balancer that the store answers.

Change: what a peer of another zone shows is remembered with the time at which it was first seen; when no peer of the own zone has supplied it 0.6 s later, it is fetched there (event=zone_behind).

--- a/crates/mulberrynotch_net/src/steer/log.rs
+++ b/crates/mulberrynotch_net/src/steer/log.rs
@@ -285,6 +285,12 @@
                 ("others_silent_ms", &Millis(Some(*reader_age))),
             ],
         ),
+        Event::ZoneBehind { from, as_of } => write_limited(
+            &READS,
+            now,
+            "zone_behind",
+            &[("from", from), ("as_of", as_of)],
+        ),
         Event::StoreRegained => event::info("store_regained", &[]),
         Event::HistoryLost { as_of, era } => write_limited(
             &READS,
--- a/crates/mulberrynotch_steer/src/machine.rs
+++ b/crates/mulberrynotch_steer/src/machine.rs
@@ -178,6 +178,8 @@
     is_reader: bool,
     /// Peer that has changes or removed targets which this process lacks.
     pull_source: Option<fetch::PullSource>,
+    /// Peer of another zone that has changes which no peer of this zone has shown yet.
+    remote_source: Option<fetch::PullSource>,
     pulled_at: Option<Duration>,
     /// Changes to relay to peers once this process has caught up with them.
     pending_relays: VecDeque<message::Push>,
@@ -215,6 +217,7 @@
             reader_at: None,
             is_reader: false,
             pull_source: None,
+            remote_source: None,
             pulled_at: None,
             pending_relays: VecDeque::new(),
             removals_known_since: None,
--- a/crates/mulberrynotch_steer/src/machine/event.rs
+++ b/crates/mulberrynotch_steer/src/machine/event.rs
@@ -182,6 +182,14 @@
             /// Number of records.
             records: usize,
         },
+        /// No peer of this zone supplied in time what a peer of another zone has, so it is fetched
+        /// there.
+        ZoneBehind {
+            /// Peer of the other zone.
+            from: SocketAddrV4,
+            /// Revision up to which it had every change.
+            as_of: revision::Revision,
+        },
         /// Records were fetched from a peer.
         Pulled {
             /// Peer address.
--- a/crates/mulberrynotch_steer/src/machine/fetch.rs
+++ b/crates/mulberrynotch_steer/src/machine/fetch.rs
@@ -48,6 +48,7 @@
 
 impl Machine {
     pub(super) fn catch_up(&mut self, now: Duration) {
+        self.use_remote_source(now);
         let Some(pull_source) = self.pull_source else {
             return;
         };
@@ -97,26 +98,47 @@
     }
 
     /// Records a peer that has more than this process as the source of the next pull. Peers of this
-    /// zone are preferred, since a fetch can be large.
+    /// zone are preferred, since a fetch can be large; one of another zone is used when this process
+    /// has been behind for [`ZONE_GRACE`].
     pub(super) fn record_newer_peer(
         &mut self,
         now: Duration,
         from: SocketAddrV4,
         heartbeat: &message::Heartbeat,
     ) {
-        let same_zone = heartbeat.sender.zone == self.fleet.me().zone;
-        let zone = self.fleet.me().zone.clone();
+        let offer = Offer {
+            from,
+            as_of: heartbeat.as_of,
+            version: heartbeat.version,
+            removal_history_ms: heartbeat.removal_history_ms,
+        };
+        let zone = &self.fleet.me().zone;
+        let may_use_remote = self.fleet.live(now, zone).next().is_none() || self.is_lagging(now);
         let lacks_removed = self.has_shorter_history(now, heartbeat.removal_history_ms);
-        let may_use_remote =
-            || self.fleet.live(now, &zone).next().is_none() || self.is_lagging(now);
-        if same_zone || lacks_removed || may_use_remote() {
-            let offer = Offer {
-                from,
-                as_of: heartbeat.as_of,
-                version: heartbeat.version,
-                removal_history_ms: heartbeat.removal_history_ms,
-            };
+        if heartbeat.sender.zone == *zone || lacks_removed || may_use_remote {
             self.update_pull_source(now, offer);
+        } else if self
+            .remote_source
+            .is_none_or(|it| !self.lacks(now, &it.offer))
+        {
+            self.remote_source = Some(PullSource { offer, since: now });
+        }
+    }
+
+    /// Uses a peer of another zone when the peers of this zone have not supplied in time what it has.
+    fn use_remote_source(&mut self, now: Duration) {
+        let Some(source) = self.remote_source else {
+            return;
+        };
+        if !self.lacks(now, &source.offer) {
+            self.remote_source = None;
+        } else if now >= source.since + ZONE_GRACE && self.pull_source.is_none() {
+            self.log(Event::ZoneBehind {
+                from: source.offer.from,
+                as_of: source.offer.as_of,
+            });
+            self.remote_source = None;
+            self.pull_source = Some(source);
         }
     }
 
@@ -141,8 +163,8 @@
                 .is_some_and(|it| self.has_shorter_history(now, it.offer.removal_history_ms))
     }
 
-    /// Returns whether the process has been behind for longer than peers of its zone need to supply
-    /// changes.
+    /// Returns whether the process has been behind a chosen source for longer than peers of its zone
+    /// need to supply changes.
     pub(super) fn is_lagging(&self, now: Duration) -> bool {
         self.pull_source
             .is_some_and(|it| now >= it.since + ZONE_GRACE)
--- a/crates/mulberrynotch_steer/tests/silence.rs
+++ b/crates/mulberrynotch_steer/tests/silence.rs
@@ -44,15 +44,13 @@
     fleet.watches.iter().map(|(from, ..)| *from).collect()
 }
 
-/// Returns the time until every machine that is not silenced has the latest change, in
-/// milliseconds.
+/// Returns the time until every machine has the latest change, in milliseconds.
 fn age_of_news(fleet: &mut Fleet) -> u64 {
     let started = fleet.now;
     for _ in 0..1_000 {
-        let is_silenced = |it: &SocketAddrV4| fleet.silenced.contains(it);
-        let mut others = fleet.machines.iter().filter(|(at, _)| !is_silenced(at));
         let revision = fleet.revision;
-        if others.all(|(_, it)| it.catalog().as_of().number >= revision) {
+        let mut machines = fleet.machines.values();
+        if machines.all(|it| it.catalog().as_of().number >= revision) {
             break;
         }
         fleet.run(10);
@@ -123,6 +121,27 @@
     }
 }
 
+/// Guards against a zone that the store turns away as a whole and that fetches nothing from another
+/// zone, because its own balancers are all equally behind.
+#[test]
+fn a_silent_zone_learns_from_another_one() {
+    for (size, moment) in [6, 9, 24]
+        .into_iter()
+        .flat_map(|size| (0..2_200).step_by(200).map(move |it| (size, it)))
+    {
+        let mut fleet = Fleet::in_zones(size, &["a", "b"]);
+        fleet.run(3_000 + moment);
+        let silent = (1..=size / 2).map(|it| address(2 * it, 7_000));
+        fleet.silence(silent);
+        fleet.publish(configuration(9, 50, &[route()]));
+        let age = age_of_news(&mut fleet);
+        assert!(
+            age < BOUND_MS,
+            "{age} ms, cut at {moment} ms, {size} balancers"
+        );
+    }
+}
+
 /// Guards against a zone that goes back and forth between readers, with gaps, while its first
 /// reader is silent.
 #[test]
