Show that odd entries end no process and stop no reader

The test writes ten of them to a real process in a debug build, each followed by a drain that has to be seen.

--- a/tests/steer_process.rs
+++ b/tests/steer_process.rs
@@ -228,6 +228,56 @@
     );
 }
 
+/// Guards against a process that ends, or follows the store no longer, because of an odd entry of
+/// another writer: deeply nested, with a number or a port out of range, or of a service that the
+/// configuration does not name.
+#[test]
+fn odd_entries_do_not_keep_a_process_from_following_the_store() {
+    let mut site = Site::start(35, Stdio::null());
+    let entry = json!({
+        "service": "feed", "address": "127.35.9.9:8000", "zone": "a", "version": "v1",
+        "capacity": 2, "state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 9,
+    });
+    let with = |field: &str, value: &str| {
+        let usual = format!("\"{field}\":{}", entry[field]);
+        let odd = entry
+            .to_string()
+            .replace(&usual, &format!("\"{field}\":{value}"));
+        odd.into_bytes()
+    };
+    let nested = format!("{}{}", "[".repeat(20_000), "]".repeat(20_000));
+    let name = format!("\"{}\"", "n".repeat(900_000));
+    let odd = [
+        nested.clone().into_bytes(),
+        with("capacity", "4294967295"),
+        with("capacity", "1e400"),
+        with("sequence", &nested),
+        with("born", "18446744073709551615"),
+        with("address", "\"127.35.9.9:99999\""),
+        with("address", "\"127.35.9.9:0\""),
+        with("service", &name),
+        with("service", "\"stocktaking\""),
+        vec![0xff; 1 << 20],
+    ];
+    for (number, value) in odd.into_iter().enumerate() {
+        // The endpoint drains after each of them, and is followed by another one.
+        let id = u16::try_from(10 + number).unwrap();
+        site.store
+            .put_bytes(&format!("servers/i-7f{number:02x}"), Some(value));
+        site.put_target(id, true);
+        site.wait_for("the entry after an odd one", |dump| {
+            let targets = dump["targets"].as_array().into_iter().flatten();
+            let drained = format!("{id:x}");
+            let mut found = targets.filter(|it| it["id"] == drained.as_str());
+            found.any(|it| it["state"] == "Draining")
+        });
+        assert!(
+            site.balancer.try_wait().unwrap().is_none(),
+            "entry {number}"
+        );
+    }
+}
+
 /// Guards against a log whose volume grows with the number of targets that change.
 #[test]
 fn lines_about_many_changed_targets_are_limited_and_counted() {
