Skip changes that are too long for one answer

Cause: the answer to a watch holds all changes since its revision. Above 4 MiB it was refused like a broken one, and the same watch was made again until the history was gone, about 20 s.

Ruled out: a slow answer (the call fails at once); a higher limit only moves the size.

Change: an answer that is too long is told apart, and the reader reads all records, page by page, and watches on from there.

--- a/crates/mulberrynotch_net/src/http.rs
+++ b/crates/mulberrynotch_net/src/http.rs
@@ -9,6 +9,7 @@
 use http_body_util::{
     BodyExt,
     Empty,
+    LengthLimitError,
     Limited, //
 };
 use hyper_util::rt::TokioIo;
@@ -31,9 +32,13 @@
             source(error)
             display("response is not valid HTTP: {}", error)
         }
-        /// The response body is incomplete or longer than the limit.
+        /// The response body is incomplete.
         Body {
-            display("response is incomplete or too long")
+            display("response is incomplete")
+        }
+        /// The response body is longer than the limit.
+        TooLong {
+            display("response is too long")
         }
         /// No complete response arrived within the time limit.
         TimedOut {
@@ -69,6 +74,13 @@
         .map_err(|_| Error::TimedOut)?
 }
 
+fn body_error(error: Box<dyn std::error::Error + Send + Sync>) -> Error {
+    match error.is::<LengthLimitError>() {
+        true => Error::TooLong,
+        false => Error::Body,
+    }
+}
+
 async fn call(address: SocketAddr, path: &str, limit: usize) -> Result<Response, Error> {
     let stream = TokioIo::new(TcpStream::connect(address).await?);
     let (mut sender, connection) = hyper::client::conn::http1::handshake(stream).await?;
@@ -82,7 +94,7 @@
         let status = response.status();
         let headers = response.headers().clone();
         let body = Limited::new(response.into_body(), limit);
-        let body = body.collect().await.map_err(|_| Error::Body)?.to_bytes();
+        let body = body.collect().await.map_err(body_error)?.to_bytes();
         Ok(Response {
             status,
             headers,
--- a/crates/mulberrynotch_net/src/steer/log.rs
+++ b/crates/mulberrynotch_net/src/steer/log.rs
@@ -285,6 +285,9 @@
                 ("others_silent_ms", &Millis(Some(*reader_age))),
             ],
         ),
+        Event::ChangesTooLong { as_of } => {
+            write_limited(&READS, now, "store_changes_too_long", &[("as_of", as_of)])
+        }
         Event::ZoneBehind { from, as_of } => write_limited(
             &READS,
             now,
--- a/crates/mulberrynotch_steer/src/machine/event.rs
+++ b/crates/mulberrynotch_steer/src/machine/event.rs
@@ -173,6 +173,11 @@
             /// Era of the store.
             era: u64,
         },
+        /// The changes that the store has are too long for one answer; all records are read again.
+        ChangesTooLong {
+            /// Revision up to which every change was known.
+            as_of: revision::Revision,
+        },
         /// All records were read from the store.
         Listed {
             /// Revision up to which every change was known before.
--- a/crates/mulberrynotch_steer/src/machine/store.rs
+++ b/crates/mulberrynotch_steer/src/machine/store.rs
@@ -134,6 +134,7 @@
                 self.watch_interrupted(now, after, as_of.era);
             }
             reader::Answer::HistoryLost { era } => self.watch_interrupted(now, after, era),
+            reader::Answer::TooLong => self.changes_too_long(now),
             reader::Answer::Listed { .. } | reader::Answer::TooMany | reader::Answer::Pong => {
                 self.call_failed(now);
             }
@@ -157,6 +158,14 @@
         self.log(Event::HistoryLost { as_of, era });
     }
 
+    /// Handles a watch whose changes are too long for one answer: they are skipped with a complete
+    /// read.
+    fn changes_too_long(&mut self, now: Duration) {
+        self.end_call(now, reader::Outcome::HistoryLost);
+        let as_of = self.catalog.as_of();
+        self.log(Event::ChangesTooLong { as_of });
+    }
+
     /// Handles a short read that was aborted because the store holds more than
     /// [`reader::SHORT_LIST`] records.
     pub fn list_too_long(&mut self, now: Duration) {
--- a/crates/mulberrynotch_steer/src/reader.rs
+++ b/crates/mulberrynotch_steer/src/reader.rs
@@ -111,6 +111,9 @@
         },
         /// The store has more records than a short read returns.
         TooMany,
+        /// The changes that a watch would return are more than a balancer reads at once; all records
+        /// can still be read, page by page.
+        TooLong,
         /// The store answered a [`Call::Ping`].
         Pong,
     }
--- a/crates/mulberrynotch_steer/tests/control.rs
+++ b/crates/mulberrynotch_steer/tests/control.rs
@@ -183,6 +183,22 @@
     assert!(!reader.is_healthy(at(1_400)));
 }
 
+/// Guards against a zone that learns nothing while the changes are too long for one answer.
+#[test]
+fn changes_that_are_too_long_are_skipped_with_a_complete_read() {
+    let mut fleet = Fleet::new(4);
+    fleet.run(3_000);
+    fleet.too_long = true;
+    fleet.publish(configuration(9, 50, &[route()]));
+    fleet.run(500);
+    assert_eq!(fleet.versions(), vec![9; 4]);
+    let lists = fleet.lists;
+    fleet.too_long = false;
+    fleet.publish(configuration(10, 51, &[route()]));
+    fleet.run(500);
+    assert_eq!((fleet.versions(), fleet.lists), (vec![10; 4], lists));
+}
+
 /// Guards against a reader that continues to watch after the store lost the history.
 #[test]
 fn a_lost_history_is_followed_by_a_complete_read() {
