Say once how old a store's answer may be, and which targets are in use

Ruled out: taking the entries that wait for a configuration out of the map of targets. Export to peers, dating and doubts need them there, so more places would change than the tests of Target::configured that it would save.

--- a/crates/mulberrynotch_standin/src/emulator/world/balancer.rs
+++ b/crates/mulberrynotch_standin/src/emulator/world/balancer.rs
@@ -190,28 +190,22 @@
                 Event::StoreAnswer(index, incarnation, call, None),
             );
         }
-        match call {
-            reader::Call::List { short, .. } => {
-                let answer = Some(self.store.list(short));
-                self.schedule(
-                    STORE_DELAY,
-                    Event::StoreAnswer(index, incarnation, call, answer),
-                );
-            }
-            reader::Call::Watch { after, wait } => self.store.watches.push(store::Watch {
-                balancer: index,
-                incarnation,
-                after,
-                deadline: self.now + wait,
-            }),
-            reader::Call::Ping => {
-                let answer = Some(reader::Answer::Pong);
-                self.schedule(
-                    STORE_DELAY,
-                    Event::StoreAnswer(index, incarnation, call, answer),
-                );
+        let answer = match call {
+            reader::Call::List { short, .. } => self.store.list(short),
+            reader::Call::Ping => reader::Answer::Pong,
+            reader::Call::Watch { after, wait } => {
+                return self.store.watches.push(store::Watch {
+                    balancer: index,
+                    incarnation,
+                    after,
+                    deadline: self.now + wait,
+                });
             }
-        }
+        };
+        self.schedule(
+            STORE_DELAY,
+            Event::StoreAnswer(index, incarnation, call, Some(answer)),
+        );
     }
 
     pub(super) fn handle_store_answer(
--- a/crates/mulberrynotch_steer/src/catalog/merge.rs
+++ b/crates/mulberrynotch_steer/src/catalog/merge.rs
@@ -87,17 +87,14 @@
             return false;
         };
         let known = self.targets.get(&id);
-        record.removed_ms.is_some()
-            && known
-                .is_some_and(|it| it.configured && it.removed_at.is_none() && !it.entry.draining)
+        record.removed_ms.is_some() && known.is_some_and(|it| it.is_in_use() && !it.entry.draining)
     }
 
     /// Returns whether this many targets, which disappeared together without draining, indicate a
     /// fault of the store rather than of the targets.
     fn is_mass_removal(&self, removals: usize) -> bool {
-        let in_use = self.targets.values().filter(|it| it.configured);
-        let present = in_use.filter(|it| it.removed_at.is_none());
-        removals >= MIN_MASS_REMOVALS && removals * MASS_REMOVAL_DIVISOR >= present.count()
+        let in_use = self.targets.values().filter(|it| it.is_in_use());
+        removals >= MIN_MASS_REMOVALS && removals * MASS_REMOVAL_DIVISOR >= in_use.count()
     }
 
     fn merge_record(
--- a/crates/mulberrynotch_steer/src/catalog/target.rs
+++ b/crates/mulberrynotch_steer/src/catalog/target.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Returns whether the entry is present and a configuration has named its service.
+    pub(super) fn is_in_use(&self) -> bool {
+        self.configured && self.removed_at.is_none()
+    }
+
     /// Returns whether the entry was removed and the removal has taken effect.
     pub(super) fn is_removed(&self, now: Duration) -> bool {
         self.removed_at.is_some() && now >= self.removal_effective_at
--- a/crates/mulberrynotch_steer/src/reader.rs
+++ b/crates/mulberrynotch_steer/src/reader.rs
@@ -21,7 +21,8 @@
 /// Time since the store's last answer after which a balancer with a pending watch makes a small read.
 const PING_PERIOD: Duration = Duration::from_millis(500);
 
-/// Time since the store's last answer after which a reader no longer answers for its zone.
+/// Time since the store's last answer after which a reader no longer answers for its zone, and the
+/// next balancer takes over.
 const MAX_SILENCE: Duration = Duration::from_millis(1_000);
 
 /// Pause between a change and the next watch, so that a burst of changes needs few calls.
@@ -42,9 +43,6 @@
 /// Longest wait for a peer that reads a long list.
 const MAX_POSTPONEMENT: Duration = Duration::from_millis(2_000);
 
-/// Time since a reader last reached the store after which the next balancer takes over.
-const TAKEOVER_AGE: Duration = Duration::from_millis(1_000);
-
 /// Additional wait for each rank in the order of readers.
 const TAKEOVER_STEP: Duration = Duration::from_millis(250);
 
@@ -174,7 +172,7 @@
             || as_of == revision::Revision::START
             || self.list_needed
             || self.lost_histories > 0;
-        let takes_over = zone.reader_age >= TAKEOVER_AGE + zone.relay_delay + TAKEOVER_STEP * rank;
+        let takes_over = zone.reader_age >= MAX_SILENCE + zone.relay_delay + TAKEOVER_STEP * rank;
         if self.pending.is_some() || now < self.next_at || !(is_responsible || takes_over) {
             return None;
         }
@@ -191,7 +189,7 @@
         } else {
             // After an outage the answer shows at once whether the store lost something, and at a
             // takeover whether it answers this balancer.
-            let is_unproven = !is_responsible && !self.is_answered(now);
+            let is_unproven = !is_responsible && self.answer_age(now).is_none();
             let wait = match self.is_failing() || is_unproven {
                 true => Duration::ZERO,
                 false => WATCH_WAIT,
@@ -289,9 +287,8 @@
                 .watched_at
                 .is_some_and(|at| within(at, CHANGE_PAUSE * 3)),
         };
-        let silence = now.saturating_sub(self.answered_at?);
-        let is_healthy = self.backoff.is_none() && is_watching && silence < MAX_SILENCE;
-        is_healthy.then_some(silence)
+        let is_reading = self.backoff.is_none() && is_watching;
+        self.answer_age(now).filter(|_| is_reading)
     }
 
     /// Returns whether this balancer watches the store and the store answers, as far as it knows.
@@ -299,9 +296,10 @@
         self.silence(now).is_some()
     }
 
-    fn is_answered(&self, now: Duration) -> bool {
-        self.answered_at
-            .is_some_and(|at| now.saturating_sub(at) < MAX_SILENCE)
+    /// Returns the time since the store's last answer; `None` when it is too long ago.
+    fn answer_age(&self, now: Duration) -> Option<Duration> {
+        let age = now.saturating_sub(self.answered_at?);
+        (age < MAX_SILENCE).then_some(age)
     }
 
     /// Returns whether the pending complete read replaces a watch, after the loss of the history or
