Keep the platform's entries in its folder, and one cut of a reader in the tests

Cause: tests/steer_process.rs spelled an entry and a key of the platform outside platform/; the entry of a target stood three times, deeply nested values twice; five tests of silence.rs repeated the same cut and publication.

Ruled out: shared code for the imports and constants of silence.rs and entries.rs that resemble others by shape; there is no logic in them.

Change: the stand-in's module entry has the entry of a target, nested values and the unusual entries; Store::put_target_bytes has the key. age_of_news cuts off and publishes itself.

--- a/crates/mulberrynotch_steer/tests/silence.rs
+++ b/crates/mulberrynotch_steer/tests/silence.rs
@@ -48,8 +48,11 @@
     fleet.watches.iter().map(|(from, ..)| *from).collect()
 }
 
-/// Returns the time until every machine has the latest change, in milliseconds.
-fn age_of_news(fleet: &mut Fleet) -> u64 {
+/// Cuts machines off from the store in silence and publishes a record. Returns the time until every
+/// machine has it, in milliseconds.
+fn age_of_news(fleet: &mut Fleet, silent: Vec<SocketAddrV4>, record: record::Record) -> u64 {
+    fleet.silence(silent);
+    fleet.publish(record);
     let started = fleet.now;
     for _ in 0..1_000 {
         let revision = fleet.revision;
@@ -75,9 +78,7 @@
             let mut fleet = Fleet::new(size);
             fleet.run(3_000 + moment);
             let silent = readers(&fleet);
-            fleet.silence(silent);
-            fleet.publish(record.clone());
-            let age = age_of_news(&mut fleet);
+            let age = age_of_news(&mut fleet, silent, record.clone());
             assert!(
                 age <= AIM_MS,
                 "{age} ms, cut at {moment} ms, {size} balancers, {:?}",
@@ -98,9 +99,7 @@
         let mut fleet = Fleet::new(size);
         fleet.run(3_000 + moment);
         let silent = readers(&fleet);
-        fleet.silence(silent);
-        fleet.publish(configuration(9, 50, &[route()]));
-        let age = age_of_news(&mut fleet);
+        let age = age_of_news(&mut fleet, silent, configuration(9, 50, &[route()]));
         assert!(
             age < LARGE_BOUND_MS,
             "{age} ms, cut at {moment} ms, {size} balancers"
@@ -117,9 +116,7 @@
         fleet.run(3_000 + moment);
         let silent = readers(&fleet);
         assert_eq!(silent.len(), 3);
-        fleet.silence(silent);
-        fleet.publish(configuration(9, 50, &[route()]));
-        let age = age_of_news(&mut fleet);
+        let age = age_of_news(&mut fleet, silent, configuration(9, 50, &[route()]));
         assert!(age <= AIM_MS, "{age} ms, cut at {moment} ms");
     }
 }
@@ -135,9 +132,8 @@
             let mut fleet = Fleet::new(size);
             fleet.run(3_000 + moment);
             let others = (1..=size).filter(|it| *it != last);
-            fleet.silence(others.map(|it| address(it, 7_000)));
-            fleet.publish(configuration(9, 50, &[route()]));
-            let age = age_of_news(&mut fleet);
+            let silent = others.map(|it| address(it, 7_000)).collect();
+            let age = age_of_news(&mut fleet, silent, configuration(9, 50, &[route()]));
             assert!(
                 age < BOUND_MS,
                 "{age} ms, cut at {moment} ms, {last} of {size}"
@@ -156,10 +152,8 @@
     {
         let mut fleet = Fleet::in_zones(size, &["a", "b"]);
         fleet.run(3_000 + moment);
-        let silent = (1..=size / 2).map(|it| address(2 * it, 7_000));
-        fleet.silence(silent);
-        fleet.publish(configuration(9, 50, &[route()]));
-        let age = age_of_news(&mut fleet);
+        let silent = (1..=size / 2).map(|it| address(2 * it, 7_000)).collect();
+        let age = age_of_news(&mut fleet, silent, configuration(9, 50, &[route()]));
         assert!(
             age < BOUND_MS,
             "{age} ms, cut at {moment} ms, {size} balancers"
--- a/tests/steer_process.rs
+++ b/tests/steer_process.rs
@@ -28,7 +28,10 @@
     },
 };
 
-use mulberrynotch_platform_standin::store;
+use mulberrynotch_platform_standin::{
+    entry,
+    store, //
+};
 use mulberrynotch_steer::cookie;
 use serde_json::{
     Value,
@@ -234,36 +237,18 @@
 #[test]
 fn odd_entries_do_not_keep_a_process_from_following_the_store() {
     let mut site = Site::start(35, Stdio::null());
-    let entry = json!({
-        "service": "feed", "address": "127.35.9.9:8000", "zone": "a", "version": "v1",
-        "capacity": 2, "state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 9,
-    });
-    let with = |field: &str, value: &str| {
-        let usual = format!("\"{field}\":{}", entry[field]);
-        let odd = entry
-            .to_string()
-            .replace(&usual, &format!("\"{field}\":{value}"));
-        odd.into_bytes()
+    let usual = store::Target {
+        id: 9,
+        address: SocketAddrV4::new(Ipv4Addr::new(127, 35, 9, 9), 8_000),
+        zone: "a",
+        draining: false,
+        born_ms: 9,
     };
-    let nested = format!("{}{}", "[".repeat(20_000), "]".repeat(20_000));
-    let name = format!("\"{}\"", "n".repeat(900_000));
-    let odd = [
-        nested.clone().into_bytes(),
-        with("capacity", "4294967295"),
-        with("capacity", "1e400"),
-        with("sequence", &nested),
-        with("born", "18446744073709551615"),
-        with("address", "\"127.35.9.9:99999\""),
-        with("address", "\"127.35.9.9:0\""),
-        with("service", &name),
-        with("service", "\"stocktaking\""),
-        vec![0xff; 1 << 20],
-    ];
-    for (number, value) in odd.into_iter().enumerate() {
+    for (number, value) in (0..).zip(entry::unusual(&usual)) {
         // The endpoint drains after each of them, and is followed by another one.
-        let id = u16::try_from(10 + number).unwrap();
+        let id = 10 + number;
         site.store
-            .put_bytes(&format!("servers/i-7f{number:02x}"), Some(value));
+            .put_target_bytes(u64::from(0x7f00 + number), value);
         site.put_target(id, true);
         site.wait_for("the entry after an odd one", |dump| {
             let targets = dump["targets"].as_array().into_iter().flatten();
